--- a/drill/codec.hpp
+++ b/drill/codec.hpp
@@ -5,21 +5,18 @@
 #include <array>
 #include <cstdint>
 #include <span>
-#include <stdexcept>
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
 #include "maddershed/call_controller.hpp"
+#include "config/settings_reader.hpp"
 
 namespace maddershed::drill {
 
 /// Input that does not follow the wire; the text says what and at which byte of the frame.
-class WireError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+using WireError = InputError;
 
 inline constexpr std::size_t batch_header_size = 16;
 
@@ -78,14 +75,4 @@
   std::uint64_t source_ = ~std::uint64_t{0};
 };
 
-struct ParsedSettings {
-  Settings settings;
-  std::vector<std::string> columns;  ///< figures of a report, in order
-};
-/// Throws WireError naming the key when a required setting is missing or is not a number.
-[[nodiscard]] ParsedSettings parse_settings(const std::string& text);
-/// Columns that are not known, and figures beyond the columns, are skipped.
-[[nodiscard]] LoadReport to_report(const std::vector<std::string>& columns,
-                                   const std::vector<float>& figures);
-
 }  // namespace maddershed::drill
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,181 @@
+#include "config/config.hpp"
+
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "config/json.hpp"
+#include "core/clock.hpp"
+#include "core/router.hpp"
+
+namespace heathturn {
+
+using namespace maddershed;
+
+namespace {
+
+std::string scalar(const rapidjson::Value& value, const std::string& path) {
+  if (value.IsString()) return {value.GetString(), value.GetStringLength()};
+  if (value.IsBool()) return value.GetBool() ? "true" : "false";
+  if (value.IsInt64()) return std::to_string(value.GetInt64());
+  if (value.IsUint64()) return std::to_string(value.GetUint64());
+  if (value.IsNull()) return "";
+  if (!value.IsDouble()) throw InputError(path + " is not a plain value");
+  std::array<char, 32> buffer{};
+  const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value.GetDouble()).ptr;
+  return {buffer.data(), end};
+}
+
+/// The nested settings as the `path=value` lines that the adapter is given for the same ones.
+void flatten(const rapidjson::Value& value, const std::string& path, std::string& out) {
+  const auto inner = [&path](const std::string& key) { return path.empty() ? key : path + "." + key; };
+  if (value.IsObject()) {
+    for (const auto& member : value.GetObject()) flatten(member.value, inner(member.name.GetString()), out);
+    return;
+  }
+  if (!value.IsArray()) {
+    out += path + "=" + scalar(value, path) + "\n";
+    return;
+  }
+  const bool nested = !value.Empty() && (value[0].IsObject() || value[0].IsArray());
+  if (!nested) {
+    out += path + "=";
+    for (rapidjson::SizeType i = 0; i < value.Size(); ++i) {
+      if (i > 0) out += ',';
+      out += scalar(value[i], path);
+    }
+    out += "\n";
+    return;
+  }
+  out += inner("count") + "=" + std::to_string(value.Size()) + "\n";
+  for (rapidjson::SizeType i = 0; i < value.Size(); ++i) flatten(value[i], inner(std::to_string(i)), out);
+}
+
+Address address_of(const JsonObject& from, const char* key) {
+  const auto parsed = Address::parse(from.text(key));
+  if (!parsed) throw InputError(from.path(key) + " is not an address with a port");
+  return *parsed;
+}
+
+ExchangeState state_of(const JsonObject& from) {
+  const auto word = from.text("status");
+  if (word == "in_service") return ExchangeState::ready;
+  if (word == "terminating") return ExchangeState::draining;
+  if (word == "terminated") return ExchangeState::gone;
+  throw InputError(from.path("status") + " is no known state");
+}
+
+Converter converter_of(const JsonObject& from, const std::vector<std::string>& zones) {
+  Converter out;
+  const auto id = parse_exchange_id(from.text("name"));
+  if (!id) throw InputError(from.path("name") + " is no converter's name");
+  out.entry.exchange = *id;
+  out.address = address_of(from, "address");
+  out.entry.number = exchange_number(static_cast<float>(from.number("group", -1, 65535, -1)));
+  out.entry.state = state_of(from);
+  const auto zone = from.text("zone", "");
+  for (std::size_t i = 0; i < zones.size(); ++i) {
+    if (zones[i] == zone) out.entry.region = static_cast<std::uint8_t>(i);
+  }
+  const double since = from.number("since_ms", 0, 1e15, 0);
+  if (since > 0) out.entry.started = module_time(since);
+  return out;
+}
+
+/// The events up to now, in order: later words on a converter replace earlier ones.
+void read_known(const JsonObject& known, const std::vector<std::string>& zones, Config& config) {
+  config.known_offset = static_cast<std::uint64_t>(known.number("offset", 0, 1e18));
+  std::map<ExchangeId, Converter> list;
+  const auto& batch = known.array("batch");
+  for (rapidjson::SizeType i = 0; i < batch.Size(); ++i) {
+    const JsonObject event(batch[i], known.path("batch." + std::to_string(i)));
+    if (event.find("topology") == nullptr) continue;
+    const auto topology = event.object("topology");
+    const auto* whole = topology.find("snapshot");
+    if (whole != nullptr && whole->IsBool() && whole->GetBool()) list.clear();
+    const auto& endpoints = topology.array("endpoints");
+    for (rapidjson::SizeType j = 0; j < endpoints.Size(); ++j) {
+      const JsonObject endpoint(endpoints[j], topology.path("endpoints." + std::to_string(j)));
+      const auto converter = converter_of(endpoint, zones);
+      list[converter.entry.exchange] = converter;
+    }
+  }
+  for (auto& [id, converter] : list) config.known.push_back(converter);
+}
+
+std::vector<std::string> texts(const JsonObject& from, const char* key) {
+  std::vector<std::string> out;
+  if (from.find(key) == nullptr) return out;
+  for (const auto& each : from.array(key).GetArray()) out.push_back(scalar(each, from.path(key)));
+  return out;
+}
+
+}  // namespace
+
+std::string read_file(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw InputError("cannot read " + path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+std::optional<ExchangeId> parse_exchange_id(const std::string& text) {
+  if (text.size() != 10 || !text.starts_with("s-")) return std::nullopt;
+  ExchangeId id;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data() + 2, end, id.value, 16);
+  if (error != std::errc{} || stop != end) return std::nullopt;
+  return id;
+}
+
+std::string exchange_text(ExchangeId id) {
+  std::array<char, 16> buffer{};
+  std::snprintf(buffer.data(), buffer.size(), "s-%08x", id.value);
+  return buffer.data();
+}
+
+Config parse_config(const std::string& text) {
+  rapidjson::Document document;
+  parse_json(document, text, "the configuration");
+  const JsonObject root(document, "");
+  Config config;
+  config.name = root.text("name", "heathturn");
+  config.listen = address_of(root, "listen");
+  const auto seed = root.text("seed", "0");
+  const char* end = seed.data() + seed.size();
+  if (std::from_chars(seed.data(), end, config.seed, 16).ptr != end) {
+    throw InputError("seed is not a hexadecimal number");
+  }
+  if (root.find("limits") != nullptr) {
+    config.sockets = static_cast<std::size_t>(root.object("limits").number("sockets", 16, 1e7, 1024));
+  }
+  if (root.find("bus") != nullptr) config.bus = address_of(root, "bus");
+
+  const auto settings = root.object("settings");
+  std::string lines;
+  flatten(settings.value(), "", lines);
+  try {
+    auto parsed = parse_settings(lines);
+    config.settings = std::move(parsed.settings);
+    config.columns = std::move(parsed.columns);
+  } catch (const InputError& error) {
+    throw InputError(std::string("settings: ") + error.what());
+  }
+  // Rule: on sockets the limits of time are longer by this; the module plans its retries by it.
+  config.settings.release_wait += to_duration(socket_slack_ms);
+  for (std::uint32_t i = 0; i < config.settings.classes.size(); ++i) {
+    const auto& each = config.settings.classes[i];
+    config.classes[each.name] = i;
+    config.longest_give_up_ms = std::max(config.longest_give_up_ms, to_ms(each.give_up));
+  }
+  if (settings.find("limits") != nullptr) {
+    config.connect_timeout_ms =
+        settings.object("limits").number("connect_timeout_us", 1000, 6e7, 500000) / 1000;
+  }
+  if (root.find("known") != nullptr) read_known(root.object("known"), texts(settings, "areas"), config);
+  return config;
+}
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/config/config.hpp
@@ -0,0 +1,45 @@
+// The one place where configuration is read, checked and given its defaults. Errors name the faulty key.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/settings_reader.hpp"
+#include "net/address.hpp"
+
+namespace heathturn {
+
+using maddershed::InputError;
+
+/// A converter as a list names it.
+struct Converter {
+  maddershed::DirectoryEntry entry;
+  Address address;
+};
+
+struct Config {
+  std::string name;
+  Address listen;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  std::optional<Address> bus;
+  std::uint64_t known_offset = 0;
+  std::vector<Converter> known;
+  maddershed::Settings settings;
+  std::vector<std::string> columns;  ///< figures of a report, as the settings name them
+  std::map<std::string, std::uint32_t> classes;
+  double connect_timeout_ms = 500;
+  double longest_give_up_ms = 3000;
+};
+
+[[nodiscard]] std::string read_file(const std::string& path);
+/// The platform's configuration. Throws InputError naming the key.
+[[nodiscard]] Config parse_config(const std::string& text);
+/// "s-00c41f7a"; nothing for any other form.
+[[nodiscard]] std::optional<maddershed::ExchangeId> parse_exchange_id(const std::string& text);
+[[nodiscard]] std::string exchange_text(maddershed::ExchangeId id);
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/net/connections.cpp
@@ -0,0 +1,266 @@
+#include "net/connections.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <map>
+#include <stdexcept>
+
+namespace heathturn {
+namespace {
+
+constexpr std::size_t most_unsent = std::size_t{1} << 20;  // bytes that one peer may leave unread
+constexpr double accept_pause_ms = 50;                     // after the descriptors ran out
+
+event_base* make_base() {
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  if (base == nullptr) throw std::runtime_error("no event loop can be had");
+  return base;
+}
+
+void no_delay(evutil_socket_t socket) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+const char* reason_of(int error) {
+  switch (error) {
+    case ECONNREFUSED:
+      return reason::refused;
+    case EHOSTUNREACH:
+    case ENETUNREACH:
+    case ETIMEDOUT:
+      return reason::unreachable;
+    default:
+      return reason::reset;
+  }
+}
+
+}  // namespace
+
+Connections::Connections(Clock& clock, Deadlines& deadlines, std::function<void(const std::string&)> log)
+    : clock_(clock), deadlines_(deadlines), log_(std::move(log)), base_(make_base(), event_base_free) {}
+
+Connections::~Connections() {
+  for (const auto handle : table_.handles()) bufferevent_free(table_.find(handle)->stream);
+  for (auto& listener : listeners_) evconnlistener_free(listener->handle);
+}
+
+void Connections::run() {
+  event* wake = evtimer_new(
+      base_.get(), [](evutil_socket_t, short, void*) {}, nullptr);
+  while (!stopping_) {
+    if (const auto due = deadlines_.next()) {
+      const double wait = std::max(0.0, *due - clock_.now());
+      const auto micros = static_cast<long long>(wait * 1000) + 1;
+      const timeval delay{static_cast<time_t>(micros / 1000000), static_cast<suseconds_t>(micros % 1000000)};
+      evtimer_add(wake, &delay);
+    } else {
+      evtimer_del(wake);
+    }
+    event_base_loop(base_.get(), EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+    deadlines_.run(clock_.now());
+  }
+  event_free(wake);
+}
+
+Handle Connections::adopt(bufferevent* stream, Connection connection) {
+  connection.stream = stream;
+  connection.since = clock_.now();
+  const auto handle = table_.add(std::move(connection));
+  auto& hook = hooks_[handle];
+  hook = std::make_unique<Hook>(Hook{this, handle});
+  bufferevent_setcb(stream, read_callback, write_callback, event_callback, hook.get());
+  return handle;
+}
+
+Handle Connections::connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms) {
+  bufferevent* stream =
+      bufferevent_socket_new(base_.get(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  Connection connection;
+  connection.user = &user;
+  connection.side = side;
+  connection.peer = to.text();
+  const auto handle = adopt(stream, std::move(connection));
+  const auto address = to.to_sockaddr();
+  // A socket may be lacking, or the refusal come at once: the user hears of it later, never from in here.
+  if (bufferevent_socket_connect(stream, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    const char* why = errno == EMFILE || errno == ENFILE ? reason::too_many : reason_of(errno);
+    table_.find(handle)->timeout = deadlines_.set(clock_.now(), [this, handle, why] { drop(handle, why); });
+    return handle;
+  }
+  no_delay(bufferevent_getfd(stream));
+  table_.find(handle)->timeout =
+      deadlines_.set(clock_.now() + timeout_ms, [this, handle] { drop(handle, reason::connect_timeout); });
+  return handle;
+}
+
+void Connections::listen(const Address& at, ConnectionUser& user, const char* side, std::size_t most) {
+  const auto address = at.to_sockaddr();
+  evconnlistener* handle = evconnlistener_new_bind(
+      base_.get(), nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 512,
+      reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  if (handle == nullptr) {
+    throw std::runtime_error("cannot listen on " + at.text() + ": " + std::strerror(errno));
+  }
+  bind(handle, user, side, most);
+  sockaddr_in bound{};
+  socklen_t length = sizeof bound;
+  getsockname(evconnlistener_get_fd(handle), reinterpret_cast<sockaddr*>(&bound), &length);
+  log_(std::string("listening side=") + side + " at=" + Address::from(bound).text());
+}
+
+void Connections::listen_local(const std::string& path, ConnectionUser& user, const char* side,
+                               std::size_t most) {
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  if (path.size() >= sizeof address.sun_path) throw std::runtime_error("socket path is too long: " + path);
+  std::memcpy(address.sun_path, path.c_str(), path.size());
+  ::unlink(path.c_str());
+  const auto before = ::umask(0177);
+  evconnlistener* handle =
+      evconnlistener_new_bind(base_.get(), nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 8,
+                              reinterpret_cast<sockaddr*>(&address), sizeof address);
+  const int error = errno;
+  ::umask(before);
+  if (handle == nullptr) throw std::runtime_error("cannot listen on " + path + ": " + std::strerror(error));
+  bind(handle, user, side, most);
+}
+
+void Connections::bind(evconnlistener* handle, ConnectionUser& user, const char* side, std::size_t most) {
+  auto& listener = *listeners_.emplace_back(std::make_unique<Listener>());
+  listener = {this, &user, side, most, 0, handle, {}};
+  evconnlistener_set_cb(
+      handle,
+      [](evconnlistener*, evutil_socket_t socket, sockaddr* from, int, void* context) {
+        auto& at = *static_cast<Listener*>(context);
+        at.owner->accepted(at, socket, from);
+      },
+      &listener);
+  // Guards against EMFILE: the listener would be ready again at once, and the loop would spin on it.
+  evconnlistener_set_error_cb(handle, [](evconnlistener* at, void* context) {
+    auto& self = *static_cast<Listener*>(context);
+    self.owner->log_(std::string("accept failed side=") + self.side + " error=" + std::strerror(errno));
+    evconnlistener_disable(at);
+    self.owner->deadlines_.set(self.owner->clock_.now() + accept_pause_ms,
+                               [at] { evconnlistener_enable(at); });
+  });
+}
+
+void Connections::accepted(Listener& listener, evutil_socket_t socket, sockaddr* from) {
+  evutil_make_socket_nonblocking(socket);
+  Connection connection;
+  connection.user = listener.user;
+  connection.side = listener.side;
+  connection.listener = &listener;
+  connection.connected = true;
+  if (from->sa_family == AF_INET) {
+    no_delay(socket);
+    connection.peer = Address::from(*reinterpret_cast<sockaddr_in*>(from)).text();
+  } else {
+    connection.peer = "local";
+  }
+  bufferevent* stream =
+      bufferevent_socket_new(base_.get(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  ++listener.open;
+  const auto handle = adopt(stream, std::move(connection));
+  if (listener.open > listener.most) return drop(handle, reason::too_many);
+  listener.user->on_connected(handle);
+  if (has(handle)) bufferevent_enable(stream, EV_READ | EV_WRITE);
+}
+
+bool Connections::write(Handle handle, std::string_view bytes) {
+  auto* connection = table_.find(handle);
+  if (connection == nullptr || connection->finishing) return false;
+  evbuffer* out = bufferevent_get_output(connection->stream);
+  // Guards against a peer that does not read: what it leaves here must not grow without end.
+  if (evbuffer_get_length(out) + bytes.size() > most_unsent) {
+    drop(handle, reason::slow_reader);
+    return false;
+  }
+  evbuffer_add(out, bytes.data(), bytes.size());
+  return true;
+}
+
+void Connections::close(Handle handle, const char* why) { drop(handle, why); }
+
+void Connections::finish(Handle handle) {
+  auto* connection = table_.find(handle);
+  if (connection == nullptr) return;
+  if (evbuffer_get_length(bufferevent_get_output(connection->stream)) == 0) {
+    return drop(handle, reason::finished);
+  }
+  connection->finishing = true;
+  bufferevent_disable(connection->stream, EV_READ);
+}
+
+std::size_t Connections::unsent() {
+  std::size_t sum = 0;
+  for (const auto handle : table_.handles()) {
+    const auto* connection = table_.find(handle);
+    if (connection->connected) sum += evbuffer_get_length(bufferevent_get_output(connection->stream));
+  }
+  return sum;
+}
+
+/// Every connection ends here, with its one line in the log.
+void Connections::drop(Handle handle, const char* why) {
+  auto* connection = table_.find(handle);
+  if (connection == nullptr) return;
+  deadlines_.cancel(connection->timeout);
+  if (connection->listener != nullptr) --connection->listener->open;
+  auto* user = connection->user;
+  log_(std::string("connection ended side=") + connection->side + " peer=" + connection->peer + " reason=" +
+       why + " after_ms=" + std::to_string(static_cast<long long>(clock_.now() - connection->since)));
+  bufferevent_free(connection->stream);
+  hooks_.erase(handle);
+  table_.erase(handle);
+  user->on_ended(handle, why);
+}
+
+void Connections::read_callback(bufferevent* stream, void* context) {
+  const auto [owner, handle] = *static_cast<Hook*>(context);
+  if (const auto* connection = owner->table_.find(handle); connection != nullptr && !connection->finishing) {
+    connection->user->on_input(handle, bufferevent_get_input(stream));
+  }
+}
+
+void Connections::write_callback(bufferevent*, void* context) {
+  const auto [owner, handle] = *static_cast<Hook*>(context);
+  if (const auto* connection = owner->table_.find(handle); connection != nullptr && connection->finishing) {
+    owner->drop(handle, reason::finished);
+  }
+}
+
+void Connections::event_callback(bufferevent*, short what, void* context) {
+  const auto [owner, handle] = *static_cast<Hook*>(context);
+  owner->on_event(handle, what);
+}
+
+void Connections::on_event(Handle handle, short what) {
+  const int error = EVUTIL_SOCKET_ERROR();
+  auto* connection = table_.find(handle);
+  if (connection == nullptr) return;
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    connection->connected = true;
+    deadlines_.cancel(connection->timeout);
+    bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
+    connection->user->on_connected(handle);
+    return;
+  }
+  if ((what & BEV_EVENT_EOF) != 0) return drop(handle, reason::peer_closed);
+  if ((what & BEV_EVENT_ERROR) != 0) {
+    const char* why = reason_of(error);
+    drop(handle, connection->connected ? reason::reset : why);
+  }
+}
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/net/connections.hpp
@@ -0,0 +1,120 @@
+// The event loop, and every stream connection in one table of numbered slots.
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/clock.hpp"
+#include "core/deadlines.hpp"
+#include "core/slots.hpp"
+#include "net/address.hpp"
+
+namespace heathturn {
+
+/// What a connection ended by, as the log names it.
+namespace reason {
+inline constexpr const char* peer_closed = "peer_closed";
+inline constexpr const char* reset = "reset";
+inline constexpr const char* refused = "refused";
+inline constexpr const char* unreachable = "unreachable";
+inline constexpr const char* connect_timeout = "connect_timeout";
+inline constexpr const char* over_long = "over_long";
+inline constexpr const char* malformed = "malformed";
+inline constexpr const char* unknown_op = "unknown_op";
+inline constexpr const char* slow_reader = "slow_reader";
+inline constexpr const char* silent = "silent";
+inline constexpr const char* too_many = "too_many";
+inline constexpr const char* withdrawn = "withdrawn";
+inline constexpr const char* finished = "finished";
+}  // namespace reason
+
+/// The owner of connections of one kind.
+class ConnectionUser {
+ public:
+  virtual ~ConnectionUser() = default;
+  virtual void on_connected(Handle) {}
+  virtual void on_input(Handle connection, evbuffer* in) = 0;
+  /// The connection is gone already; `reason` says by what.
+  virtual void on_ended(Handle connection, const char* reason) = 0;
+};
+
+class Connections {
+ public:
+  Connections(Clock& clock, Deadlines& deadlines, std::function<void(const std::string&)> log);
+  ~Connections();
+  Connections(const Connections&) = delete;
+  Connections& operator=(const Connections&) = delete;
+
+  /// Runs until stop(); deadlines are served between the events.
+  void run();
+  void stop() { stopping_ = true; }
+  [[nodiscard]] event_base* base() const { return base_.get(); }
+
+  /// `side` names the kind of peer in the log.
+  Handle connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms);
+  /// Throws std::runtime_error when the address cannot be had.
+  void listen(const Address& at, ConnectionUser& user, const char* side, std::size_t most);
+  void listen_local(const std::string& path, ConnectionUser& user, const char* side, std::size_t most);
+  /// False when the connection is gone, or ends here because the peer does not read.
+  bool write(Handle connection, std::string_view bytes);
+  void close(Handle connection, const char* reason);
+  /// Ends the connection once all that was written has left.
+  void finish(Handle connection);
+  [[nodiscard]] bool has(Handle connection) { return table_.find(connection) != nullptr; }
+  [[nodiscard]] std::size_t unsent();
+  [[nodiscard]] std::size_t size() const { return table_.size(); }
+
+ private:
+  struct Listener {
+    Connections* owner = nullptr;
+    ConnectionUser* user = nullptr;
+    const char* side = "";
+    std::size_t most = 0;
+    std::size_t open = 0;
+    evconnlistener* handle = nullptr;
+    Deadlines::Key reopen;
+  };
+  struct Connection {
+    bufferevent* stream = nullptr;
+    ConnectionUser* user = nullptr;
+    const char* side = "";
+    std::string peer;
+    double since = 0;
+    bool connected = false;
+    bool finishing = false;
+    Listener* listener = nullptr;
+    Deadlines::Key timeout;
+  };
+  /// What a bufferevent's callbacks are given: it lives as long as the bufferevent.
+  struct Hook {
+    Connections* owner;
+    Handle connection;
+  };
+  Handle adopt(bufferevent* stream, Connection connection);
+  void bind(evconnlistener* handle, ConnectionUser& user, const char* side, std::size_t most);
+  void accepted(Listener& listener, evutil_socket_t socket, sockaddr* from);
+  void drop(Handle connection, const char* reason);
+  void on_event(Handle connection, short what);
+  static void read_callback(bufferevent* stream, void* context);
+  static void write_callback(bufferevent* stream, void* context);
+  static void event_callback(bufferevent* stream, short what, void* context);
+
+  Clock& clock_;
+  Deadlines& deadlines_;
+  std::function<void(const std::string&)> log_;
+  std::unique_ptr<event_base, void (*)(event_base*)> base_;
+  SlotTable<Connection> table_;
+  std::map<Handle, std::unique_ptr<Hook>> hooks_;
+  std::vector<std::unique_ptr<Listener>> listeners_;
+  bool stopping_ = false;
+};
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/platform/converters.cpp
@@ -0,0 +1,372 @@
+#include "platform/converters.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace heathturn {
+
+using namespace maddershed;
+
+namespace {
+
+constexpr double retry_first_ms = 50;  // between attempts to connect, doubling
+constexpr double retry_most_ms = 1000;
+constexpr double watch_every_ms = 250;
+constexpr double silent_after_ms = 2000;  // nothing heard, while calls stand: a test is sent
+constexpr double test_wait_ms = 1000;     // and not answered by then: the connections are dead
+// Rule: the caller of a call that nobody releases hears of its end within 8 s. Silence is noticed 3 s after
+// it began and its connections are closed; this much later the calls are taken for over.
+constexpr double lost_after_ms = 4000;
+
+Cause cause_of(const std::string& note) {
+  if (note == "all_trunks_busy") return Cause::no_circuit;
+  if (note == "via_said_no") return Cause::turned_back;
+  if (note == "far_cpu_full") return Cause::turned_back_processor_full;
+  if (note == "cpu_full") return Cause::processor_full;
+  if (note == "number_busy") return Cause::number_busy;
+  return Cause::none;
+}
+
+/// What a release before the answer means.
+Result result_of(int why) {
+  switch (why) {
+    case cause::full:
+      return Result::not_set_up;
+    case cause::moot:
+      return Result::not_sent;
+    case cause::temporary_failure:
+      return Result::reset;
+    default:
+      return Result::error;
+  }
+}
+
+}  // namespace
+
+Converters::Converters(Clock& clock, Deadlines& deadlines, Connections& net, Router& router,
+                       const Config& config)
+    : clock_(clock), deadlines_(deadlines), net_(net), router_(router), config_(config) {}
+
+// ---- The list -------------------------------------------------------------------------------------------
+
+void Converters::update(const std::vector<Converter>& list, bool whole) {
+  DirectoryUpdate update;
+  update.kind = whole ? DirectoryUpdate::Kind::whole : DirectoryUpdate::Kind::changes;
+  if (whole) {
+    for (auto& [id, link] : links_) link.converter.entry.state = ExchangeState::gone;
+  }
+  for (const auto& converter : list) {
+    update.entries.push_back(converter.entry);
+    const auto id = converter.entry.exchange;
+    auto [it, fresh] = links_.try_emplace(id);
+    auto& link = it->second;
+    const bool restarted = !fresh && link.converter.entry.started != converter.entry.started;
+    link.converter = converter;
+    if (fresh) {
+      link.unreached = clock_.now();
+      watch(id);
+    }
+    // A process that began anew holds none of the calls that stood before.
+    if (restarted && converter.entry.state == ExchangeState::ready) router_.exchange_lost(id);
+    if (converter.entry.state != ExchangeState::ready) continue;
+    for (std::size_t i = 0; i < held_connections; ++i) {
+      if (link.lines[i].connection == no_handle) open(link, i);
+    }
+  }
+  router_.directory(update);
+}
+
+bool Converters::all_heard() const {
+  return std::all_of(links_.begin(), links_.end(), [](const auto& each) {
+    return each.second.state_told || each.second.converter.entry.state != ExchangeState::ready;
+  });
+}
+
+// ---- Connections ----------------------------------------------------------------------------------------
+
+void Converters::open(Link& link, std::size_t line) {
+  deadlines_.cancel(link.lines[line].retry);
+  const auto connection =
+      net_.connect(link.converter.address, *this, "converter", config_.connect_timeout_ms);
+  link.lines[line].connection = connection;
+  link.lines[line].open = false;
+  lines_[connection] = {link.converter.entry.exchange, line};
+}
+
+void Converters::open_later(Link& link, std::size_t line) {
+  if (link.converter.entry.state == ExchangeState::gone) return;
+  link.retry_ms = std::clamp(2 * link.retry_ms, retry_first_ms, retry_most_ms);
+  const auto id = link.converter.entry.exchange;
+  link.lines[line].retry = deadlines_.set(clock_.now() + link.retry_ms, [this, id, line] {
+    auto& later = links_[id];
+    later.lines[line].retry = {};
+    if (later.converter.entry.state != ExchangeState::gone && later.lines[line].connection == no_handle) {
+      open(later, line);
+    }
+  });
+}
+
+Handle Converters::open_connection(const Link& link) {
+  for (const auto& line : link.lines) {
+    if (line.open) return line.connection;
+  }
+  return no_handle;
+}
+
+void Converters::on_connected(Handle connection) {
+  const auto at = lines_[connection];
+  auto& link = links_[at.exchange];
+  link.lines[at.line].open = true;
+  link.retry_ms = 0;
+  link.unreached = 0;
+  link.tested_at = 0;
+  link.heard = clock_.now();
+  const auto waiting = std::move(link.waiting);
+  link.waiting.clear();
+  for (const auto attempt : waiting) {
+    if (attempts_.contains(attempt)) write_set_up(link, attempt, connection);
+  }
+}
+
+void Converters::on_ended(Handle connection, const char* why) {
+  const auto at = lines_[connection];
+  lines_.erase(connection);
+  auto& link = links_[at.exchange];
+  link.lines[at.line] = {};
+  if (link.unreached == 0 && open_connection(link) == no_handle) link.unreached = clock_.now();
+  std::vector<Handle> broken;
+  for (const auto& [call, attempt] : link.attempts) {
+    if (attempts_[attempt].connection == connection) broken.push_back(attempt);
+  }
+  for (const auto attempt : broken) {
+    // A set-up ends with its connection; a call that stands does not.
+    if (router_.is_standing(attempt)) {
+      attempts_[attempt].connection = no_handle;
+      continue;
+    }
+    forget(attempt);
+    router_.ended(attempt, {.result = Result::reset});
+  }
+  (void)why;
+  const bool other_coming = std::any_of(link.lines.begin(), link.lines.end(),
+                                        [](const Line& l) { return l.connection != no_handle; });
+  if (!other_coming) fail_waiting(link);
+  open_later(link, at.line);
+}
+
+/// No connection came up for them: nothing ran.
+void Converters::fail_waiting(Link& link) {
+  const auto waiting = std::move(link.waiting);
+  link.waiting.clear();
+  for (const auto attempt : waiting) {
+    if (!attempts_.contains(attempt)) continue;
+    forget(attempt);
+    router_.ended(attempt, {.result = Result::connect_failed});
+  }
+}
+
+void Converters::on_input(Handle connection, evbuffer* in) {
+  const auto id = lines_[connection].exchange;
+  auto& link = links_[id];
+  link.heard = clock_.now();
+  link.tested_at = 0;
+  std::string line;
+  while (net_.has(connection)) {
+    switch (next_line(in, most_line, line)) {
+      case Framed::none:
+        return;
+      case Framed::over_long:
+        return net_.close(connection, reason::over_long);
+      case Framed::one:
+        break;
+    }
+    try {
+      on_message(link, connection, parse_message(line));
+    } catch (const Unreadable& error) {
+      return net_.close(connection, error.reason);
+    }
+  }
+}
+
+/// Guards against a machine that vanished: its connections stay open and quiet for ever.
+void Converters::watch(ExchangeId id) {
+  auto& link = links_[id];
+  const double now = clock_.now();
+  link.watch = deadlines_.set(now + watch_every_ms, [this, id] { watch(id); });
+  if (router_.standing_at(id) == 0) return;
+  if (link.unreached != 0) {
+    if (now - link.unreached >= lost_after_ms) router_.exchange_lost(id);
+    return;
+  }
+  if (link.tested_at != 0 && now - link.tested_at >= test_wait_ms) {
+    for (const auto& line : std::array(link.lines)) {
+      if (line.connection != no_handle) net_.close(line.connection, reason::silent);
+    }
+  } else if (link.tested_at == 0 && now - link.heard >= silent_after_ms) {
+    link.tested_at = now;
+    send_test(link, open_connection(link), 0);
+  }
+}
+
+// ---- Attempts -------------------------------------------------------------------------------------------
+
+void Converters::send(Handle attempt, ExchangeId exchange, const Request& request, double left_ms) {
+  const auto it = links_.find(exchange);
+  if (it == links_.end()) return router_.ended(attempt, {.result = Result::connect_failed});
+  auto& link = it->second;
+  Message message;
+  message.op = Op::offer;
+  message.call = request.name;
+  message.fields = {{"class", request.class_name},
+                    {"key", request.key},
+                    {"left", std::to_string(std::lround(std::floor(left_ms)))}};
+  message.text = request.body;
+  attempts_[attempt] = {exchange, request.name, no_handle, print_message(message)};
+  link.attempts[request.name] = attempt;
+  if (const auto connection = open_connection(link); connection != no_handle) {
+    return write_set_up(link, attempt, connection);
+  }
+  link.waiting.push_back(attempt);
+  bool coming = false;
+  for (std::size_t i = 0; i < held_connections; ++i) {
+    coming = coming || link.lines[i].connection != no_handle;
+  }
+  if (!coming) open(link, 0);
+}
+
+void Converters::write_set_up(Link& link, Handle attempt, Handle connection) {
+  auto& out = attempts_[attempt];
+  out.connection = connection;
+  const auto line = std::move(out.line);
+  if (net_.write(connection, line)) return;
+  // The write ended the connection, which ends its set-ups; one that it did not know of ends here.
+  if (!attempts_.contains(attempt)) return;
+  (void)link;
+  forget(attempt);
+  router_.ended(attempt, {.result = Result::reset});
+}
+
+void Converters::forget(Handle attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  auto& link = links_[it->second.exchange];
+  std::erase(link.waiting, attempt);
+  link.attempts.erase(it->second.call);
+  attempts_.erase(it);
+}
+
+void Converters::give_up(Handle attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  const auto out = it->second;
+  forget(attempt);
+  // A set-up that still waited for its connection never left.
+  if (out.connection != no_handle) say_end(links_[out.exchange], out.call, out.connection, cause::normal);
+}
+
+void Converters::release(Handle attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  const auto out = it->second;
+  forget(attempt);
+  say_end(links_[out.exchange], out.call, out.connection, cause::normal);
+}
+
+void Converters::say_end(Link& link, const std::string& call, Handle preferred, int why) {
+  Message message;
+  message.call = call;
+  message.why = why;
+  const auto line = print_message(message);
+  if (preferred != no_handle && net_.write(preferred, line)) return;
+  if (const auto other = open_connection(link); other != no_handle) net_.write(other, line);
+}
+
+void Converters::release_anywhere(const std::string& call, int why) {
+  for (auto& [id, link] : links_) say_end(link, call, no_handle, why);
+}
+
+void Converters::send_test(Link& link, Handle connection, int why) {
+  std::array<char, 24> id{};
+  std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(++last_test_));
+  Message message;
+  message.op = Op::test;
+  message.call = id.data();
+  message.why = why;
+  if (why == 1) probes_[message.call] = {link.converter.entry.exchange, clock_.now()};
+  net_.write(connection, print_message(message));
+}
+
+void Converters::probe(ExchangeId exchange) {
+  const auto it = links_.find(exchange);
+  const auto connection = it == links_.end() ? no_handle : open_connection(it->second);
+  if (connection == no_handle) return router_.report(exchange, {}, false);
+  send_test(it->second, connection, 1);
+}
+
+// ---- What converters say --------------------------------------------------------------------------------
+
+LoadReport Converters::load_of(const Message& message) const {
+  const auto* load = message.field("load");
+  return load == nullptr ? LoadReport{} : parse_load(*load, config_.columns);
+}
+
+void Converters::on_message(Link& link, Handle connection, const Message& message) {
+  const auto id = link.converter.entry.exchange;
+  switch (message.op) {
+    case Op::ringing:
+    case Op::ended:
+      return;
+    case Op::group:
+      link.state_told = true;
+      return router_.report(id, load_of(message));
+    case Op::tested: {
+      const auto probe = probes_.find(message.call);
+      if (probe == probes_.end()) return;
+      const double elapsed = clock_.now() - probe->second.second;
+      probes_.erase(probe);
+      return router_.report(id, load_of(message), message.why.value_or(1) != 0, elapsed);
+    }
+    case Op::accept: {
+      if (!message.text) throw Unreadable{reason::malformed};
+      const auto it = link.attempts.find(message.call);
+      if (it != link.attempts.end()) return router_.stands(it->second, *message.text);
+      // It stands for nobody: the word that it was given up has crossed it, or a restart lies between.
+      return say_end(link, message.call, connection, cause::normal);
+    }
+    case Op::end:
+      return on_end(link, connection, message);
+    case Op::offer:
+    case Op::test:
+      break;
+  }
+  throw Unreadable{reason::unknown_op};  // nothing that a converter may say
+}
+
+void Converters::on_end(Link& link, Handle connection, const Message& message) {
+  const int why = message.why.value_or(cause::normal);
+  const auto it = link.attempts.find(message.call);
+  if (it == link.attempts.end()) {
+    // Only what ends a standing call is passed on: a refusal for an unknown id ends a set-up given up.
+    if (why == cause::normal || why == cause::temporary_failure) stray_(message.call, why);
+    return;
+  }
+  const auto attempt = it->second;
+  Outcome outcome;
+  outcome.report = load_of(message);
+  if (router_.is_standing(attempt)) {
+    outcome.result = why == cause::normal ? Result::ended : Result::reset;
+    Message heard;
+    heard.op = Op::ended;
+    heard.call = message.call;
+    net_.write(connection, print_message(heard));
+  } else {
+    outcome.result = result_of(why);
+    if (const auto* note = message.field("note")) outcome.cause = cause_of(*note);
+    outcome.wait_hint_ms = std::max(0.0, message.number("waited", 0));
+  }
+  forget(attempt);
+  router_.ended(attempt, outcome);
+}
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/platform/converters.hpp
@@ -0,0 +1,95 @@
+// The platform's converters: connections held to each, attempts and standing calls on them.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/config.hpp"
+#include "core/router.hpp"
+#include "net/connections.hpp"
+#include "net/framing.hpp"
+#include "platform/message.hpp"
+
+namespace heathturn {
+
+class Converters : public Carrier, public ConnectionUser {
+ public:
+  Converters(Clock& clock, Deadlines& deadlines, Connections& net, Router& router, const Config& config);
+  /// Converters that the list names, or that it names anew. `whole`: those it leaves out are gone.
+  void update(const std::vector<Converter>& list, bool whole);
+  /// Told of a converter's word on a call that this process never had.
+  void set_stray(std::function<void(const std::string&, int)> stray) { stray_ = std::move(stray); }
+  /// Cuts a call whose converter is not known.
+  void release_anywhere(const std::string& call, int why);
+  /// Each converter in service has told the state of its group.
+  [[nodiscard]] bool all_heard() const;
+
+  void send(Handle attempt, ExchangeId exchange, const Request& request, double left_ms) override;
+  void give_up(Handle attempt) override;
+  void release(Handle attempt) override;
+  void probe(ExchangeId exchange) override;
+
+  void on_connected(Handle connection) override;
+  void on_input(Handle connection, evbuffer* in) override;
+  void on_ended(Handle connection, const char* reason) override;
+
+ private:
+  static constexpr std::size_t held_connections = 2;
+  struct Line {
+    Handle connection = no_handle;
+    bool open = false;
+    Deadlines::Key retry;
+  };
+  struct Link {
+    Converter converter;
+    std::array<Line, held_connections> lines;
+    std::unordered_map<std::string, Handle> attempts;  ///< by call: out or standing
+    std::vector<Handle> waiting;                       ///< attempts until a connection is open
+    double retry_ms = 0;
+    double heard = 0;      ///< when anything came last
+    double unreached = 0;  ///< since when no connection is open; 0: one is
+    double tested_at = 0;  ///< a test is unanswered since; 0: none
+    bool state_told = false;
+    Deadlines::Key watch;
+  };
+  struct Out {
+    ExchangeId exchange;
+    std::string call;
+    Handle connection = no_handle;  ///< none while it waits for one
+    std::string line;
+  };
+  struct At {
+    ExchangeId exchange;
+    std::size_t line = 0;
+  };
+  void open(Link& link, std::size_t line);
+  void open_later(Link& link, std::size_t line);
+  void write_set_up(Link& link, Handle attempt, Handle connection);
+  void fail_waiting(Link& link);
+  void on_message(Link& link, Handle connection, const Message& message);
+  void on_end(Link& link, Handle connection, const Message& message);
+  void forget(Handle attempt);
+  void say_end(Link& link, const std::string& call, Handle preferred, int why);
+  void send_test(Link& link, Handle connection, int why);
+  void watch(ExchangeId exchange);
+  [[nodiscard]] static Handle open_connection(const Link& link);
+  [[nodiscard]] maddershed::LoadReport load_of(const Message& message) const;
+
+  Clock& clock_;
+  Deadlines& deadlines_;
+  Connections& net_;
+  Router& router_;
+  const Config& config_;
+  std::function<void(const std::string&, int)> stray_;
+  std::map<ExchangeId, Link> links_;
+  std::unordered_map<Handle, At> lines_;  ///< by connection
+  std::unordered_map<Handle, Out> attempts_;
+  std::unordered_map<std::string, std::pair<ExchangeId, double>> probes_;  ///< by id: when sent
+  std::uint64_t last_test_ = 0;
+};
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/platform/message.cpp
@@ -0,0 +1,169 @@
+#include "platform/message.hpp"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <array>
+#include <charconv>
+#include <cmath>
+
+#include "config/settings_reader.hpp"
+#include "net/connections.hpp"
+
+namespace heathturn {
+namespace {
+
+constexpr std::array<std::string_view, 8> names = {"offer", "ringing", "accept", "end",
+                                                   "ended", "test",    "tested", "group"};
+
+std::string text_of(const rapidjson::Value& value) { return {value.GetString(), value.GetStringLength()}; }
+
+std::string number_text(const rapidjson::Value& value) {
+  if (value.IsInt64()) return std::to_string(value.GetInt64());
+  if (value.IsUint64()) return std::to_string(value.GetUint64());
+  std::array<char, 32> buffer{};
+  return {buffer.data(), std::to_chars(buffer.data(), buffer.data() + 32, value.GetDouble()).ptr};
+}
+
+bool is_call(const std::string& id) {
+  return id.size() == 16 && id.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+std::optional<double> to_number(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+/// The figures of a report go by the simulator's words or by those of the settings.
+std::string_view settings_word(std::string_view name) {
+  constexpr std::array<std::pair<std::string_view, std::string_view>, 8> words = {
+      {{"x0", "spare"},
+       {"x1", "total"},
+       {"util", "utilization"},
+       {"queue", "backlog"},
+       {"inflight", "outstanding"},
+       {"latency_ms", "recent_ms"},
+       {"qps", "allowed"},
+       {"eps", "cut_by"}}};
+  for (const auto& [wire, word] : words) {
+    if (name == wire) return word;
+  }
+  return name;
+}
+
+}  // namespace
+
+const std::string* Message::field(std::string_view name) const {
+  for (const auto& [key, value] : fields) {
+    if (key == name) return &value;
+  }
+  return nullptr;
+}
+
+double Message::number(std::string_view name, double otherwise) const {
+  const auto* value = field(name);
+  return value == nullptr ? otherwise : to_number(*value).value_or(otherwise);
+}
+
+Message parse_message(const std::string& line) {
+  rapidjson::Document json;
+  // Iterative: thousands of nested brackets must not take the stack.
+  json.Parse<rapidjson::kParseIterativeFlag>(line.data(), line.size());
+  if (json.HasParseError() || !json.IsObject()) throw Unreadable{reason::malformed};
+  Message message;
+  const auto op = json.FindMember("op");
+  if (op == json.MemberEnd() || !op->value.IsString()) throw Unreadable{reason::malformed};
+  const auto word = text_of(op->value);
+  std::size_t index = 0;
+  while (index < names.size() && names[index] != word) ++index;
+  if (index == names.size()) throw Unreadable{reason::unknown_op};
+  message.op = static_cast<Op>(index);
+  if (const auto call = json.FindMember("call"); call != json.MemberEnd()) {
+    if (!call->value.IsString()) throw Unreadable{reason::malformed};
+    message.call = text_of(call->value);
+  }
+  const bool about_call = message.op != Op::group && message.op != Op::test && message.op != Op::tested;
+  if (about_call && !is_call(message.call)) throw Unreadable{reason::malformed};
+  if (const auto with = json.FindMember("with"); with != json.MemberEnd() && !with->value.IsNull()) {
+    if (!with->value.IsObject()) throw Unreadable{reason::malformed};
+    for (const auto& member : with->value.GetObject()) {
+      if (member.value.IsString()) {
+        message.fields.emplace_back(text_of(member.name), text_of(member.value));
+      } else if (member.value.IsNumber()) {
+        message.fields.emplace_back(text_of(member.name), number_text(member.value));
+      } else {
+        throw Unreadable{reason::malformed};
+      }
+    }
+  }
+  if (const auto why = json.FindMember("why"); why != json.MemberEnd() && !why->value.IsNull()) {
+    if (!why->value.IsInt()) throw Unreadable{reason::malformed};
+    message.why = why->value.GetInt();
+  }
+  if (const auto desc = json.FindMember("desc"); desc != json.MemberEnd() && !desc->value.IsNull()) {
+    if (!desc->value.IsString()) throw Unreadable{reason::malformed};
+    message.text = text_of(desc->value);
+  }
+  return message;
+}
+
+std::string print_message(const Message& message) {
+  rapidjson::StringBuffer out;
+  rapidjson::Writer<rapidjson::StringBuffer> json(out);
+  const auto put = [&json](std::string_view text) {
+    json.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
+  };
+  json.StartObject();
+  json.Key("op");
+  put(names[static_cast<std::size_t>(message.op)]);
+  json.Key("call");
+  put(message.call);
+  json.Key("with");
+  json.StartObject();
+  for (const auto& [key, value] : message.fields) {
+    put(key);
+    put(value);
+  }
+  json.EndObject();
+  if (message.why) {
+    json.Key("why");
+    json.Int(*message.why);
+  }
+  if (message.text) {
+    json.Key("desc");
+    put(*message.text);
+  }
+  json.EndObject();
+  return std::string(out.GetString(), out.GetSize()) + "\n";
+}
+
+std::vector<std::pair<std::string, double>> parse_figures(const std::string& text) {
+  std::vector<std::pair<std::string, double>> out;
+  std::string_view rest = text;
+  while (!rest.empty()) {
+    const auto end = std::min(rest.find(';'), rest.size());
+    const auto part = rest.substr(0, end);
+    if (const auto colon = part.find(':'); colon != std::string_view::npos) {
+      if (const auto value = to_number(part.substr(colon + 1))) {
+        out.emplace_back(part.substr(0, colon), *value);
+      }
+    }
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  return out;
+}
+
+maddershed::LoadReport parse_load(const std::string& text, const std::vector<std::string>& columns) {
+  std::vector<float> figures(columns.size(), -1.0F);
+  for (const auto& [name, value] : parse_figures(text)) {
+    for (std::size_t i = 0; i < columns.size(); ++i) {
+      if (columns[i] == name || columns[i] == settings_word(name)) figures[i] = static_cast<float>(value);
+    }
+  }
+  return maddershed::to_report(columns, figures);
+}
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/platform/message.hpp
@@ -0,0 +1,53 @@
+// The platform's JSON lines: one message a line.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "maddershed/call_controller.hpp"
+
+namespace heathturn {
+
+enum class Op { offer, ringing, accept, end, ended, test, tested, group };
+
+namespace cause {
+inline constexpr int normal = 16;
+inline constexpr int busy = 17;
+inline constexpr int full = 34;
+inline constexpr int temporary_failure = 41;
+inline constexpr int congestion = 42;
+inline constexpr int error = 47;
+inline constexpr int moot = 102;
+}  // namespace cause
+
+struct Message {
+  Op op = Op::end;
+  std::string call;
+  std::vector<std::pair<std::string, std::string>> fields;  ///< strings; numbers as their text
+  std::optional<int> why;
+  std::optional<std::string> text;  ///< the description
+
+  [[nodiscard]] const std::string* field(std::string_view name) const;
+  [[nodiscard]] double number(std::string_view name, double otherwise) const;
+};
+
+inline constexpr std::size_t most_line = std::size_t{16} * 1024;
+
+struct Unreadable {
+  const char* reason;
+};
+/// Throws Unreadable with the reason code for the connection's end.
+[[nodiscard]] Message parse_message(const std::string& line);
+/// With the line feed.
+[[nodiscard]] std::string print_message(const Message& message);
+
+/// "dest:2;width:1;via:-1" as pairs; parts without a number are left out.
+[[nodiscard]] std::vector<std::pair<std::string, double>> parse_figures(const std::string& text);
+[[nodiscard]] maddershed::LoadReport parse_load(const std::string& text,
+                                                const std::vector<std::string>& columns);
+
+}  // namespace heathturn
