--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -69,7 +69,9 @@
     }
     // A process that began anew holds none of the calls that stood before.
     if (restarted && converter.entry.state == ExchangeState::ready) router_.exchange_lost(id);
-    if (converter.entry.state != ExchangeState::ready) continue;
+    // The own exchange is sent nothing, and has no group to tell of.
+    link.own = converter.entry.number == config_.settings.home;
+    if (converter.entry.state != ExchangeState::ready || link.own) continue;
     for (std::size_t i = 0; i < held_connections; ++i) {
       if (link.lines[i].connection == no_handle) open(link, i);
     }
@@ -79,7 +81,8 @@
 
 bool Converters::all_heard() const {
   return std::all_of(links_.begin(), links_.end(), [](const auto& each) {
-    return each.second.state_told || each.second.converter.entry.state != ExchangeState::ready;
+    const auto& link = each.second;
+    return link.state_told || link.own || link.converter.entry.state != ExchangeState::ready;
   });
 }
 
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -54,6 +54,7 @@
     double unreached = 0;  ///< since when no connection is open; 0: one is
     double tested_at = 0;  ///< a test is unanswered since; 0: none
     bool state_told = false;
+    bool own = false;
     Deadlines::Key watch;
   };
   struct Out {
