--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -52,12 +52,6 @@
   for (rapidjson::SizeType i = 0; i < value.Size(); ++i) flatten(value[i], inner(std::to_string(i)), out);
 }
 
-Address address_of(const JsonObject& from, const char* key) {
-  const auto parsed = Address::parse(from.text(key));
-  if (!parsed) throw InputError(from.path(key) + " is not an address with a port");
-  return *parsed;
-}
-
 ExchangeState state_of(const JsonObject& from) {
   const auto word = from.text("status");
   if (word == "in_service") return ExchangeState::ready;
@@ -71,6 +65,7 @@
   const auto id = parse_exchange_id(from.text("name"));
   if (!id) throw InputError(from.path("name") + " is no converter's name");
   out.entry.exchange = *id;
+  out.name = exchange_text(*id);
   out.address = address_of(from, "address");
   out.entry.number = exchange_number(static_cast<float>(from.number("group", -1, 65535, -1)));
   out.entry.state = state_of(from);
@@ -136,6 +131,26 @@
   return buffer.data();
 }
 
+Address address_of(const JsonObject& from, const char* key) {
+  const auto parsed = Address::parse(from.text(key));
+  if (!parsed) throw InputError(from.path(key) + " is not an address with a port");
+  return *parsed;
+}
+
+ParsedSettings settings_of(const JsonObject& root) {
+  std::string lines;
+  flatten(root.object("settings").value(), "", lines);
+  try {
+    auto parsed = parse_settings(lines);
+    // Rule: on sockets the limits of time are longer by this; the module plans its retries by it.
+    parsed.settings.release_wait += to_duration(socket_slack_ms);
+    (void)CallController(parsed.settings, 0);  // checks what the reader does not
+    return parsed;
+  } catch (const std::exception& error) {
+    throw InputError(std::string("settings: ") + error.what());
+  }
+}
+
 Config parse_config(const std::string& text) {
   rapidjson::Document document;
   parse_json(document, text, "the configuration");
@@ -154,17 +169,9 @@
   if (root.find("bus") != nullptr) config.bus = address_of(root, "bus");
 
   const auto settings = root.object("settings");
-  std::string lines;
-  flatten(settings.value(), "", lines);
-  try {
-    auto parsed = parse_settings(lines);
-    config.settings = std::move(parsed.settings);
-    config.columns = std::move(parsed.columns);
-  } catch (const InputError& error) {
-    throw InputError(std::string("settings: ") + error.what());
-  }
-  // Rule: on sockets the limits of time are longer by this; the module plans its retries by it.
-  config.settings.release_wait += to_duration(socket_slack_ms);
+  auto parsed = settings_of(root);
+  config.settings = std::move(parsed.settings);
+  config.columns = std::move(parsed.columns);
   for (std::uint32_t i = 0; i < config.settings.classes.size(); ++i) {
     const auto& each = config.settings.classes[i];
     config.classes[each.name] = i;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -18,8 +18,16 @@
 struct Converter {
   maddershed::DirectoryEntry entry;
   Address address;
+  std::string name;
+  std::uint32_t circuits = 0;  ///< size of the group towards it, where the list tells it
 };
 
+class JsonObject;
+/// The address under a key. Throws InputError naming it.
+[[nodiscard]] Address address_of(const JsonObject& from, const char* key);
+/// The module's settings under the key `settings`, with the times of the rules as they are on sockets.
+[[nodiscard]] maddershed::ParsedSettings settings_of(const JsonObject& root);
+
 struct Config {
   std::string name;
   Address listen;
--- /dev/null
+++ b/src/enum/enum_service.hpp
@@ -0,0 +1,27 @@
+// The ENUM front and its upstreams round a core of their own.
+#pragma once
+
+#include "enum/front.hpp"
+#include "enum/upstreams.hpp"
+#include "program.hpp"
+
+namespace heathturn {
+
+class EnumService : public Service {
+ public:
+  EnumService(Program& program, EnumConfig config, std::uint64_t seed);
+  [[nodiscard]] const char* kind() const override { return "enum"; }
+  void start() override;
+  void close_door() override { front_.close_door(); }
+  [[nodiscard]] Router& router() override { return router_; }
+  [[nodiscard]] std::vector<ConverterView> converters() const override { return upstreams_.view(); }
+  [[nodiscard]] double longest_ms() const override { return config_.longest_deadline_ms; }
+
+ private:
+  EnumConfig config_;
+  Router router_;
+  Upstreams upstreams_;
+  EnumFront front_;
+};
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/enum/front.cpp
@@ -0,0 +1,212 @@
+#include "enum/front.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "net/framing.hpp"
+
+namespace heathturn {
+namespace {
+
+constexpr std::size_t most_connections = 128;
+constexpr std::size_t most_open = 10000;      // look-ups: beyond, the cheap answer is a refusal
+constexpr std::size_t most_query = 4096;      // bytes of a query over TCP
+constexpr double idle_connection_ms = 10000;  // without a query and without an open one
+
+/// What a record may be about: the question's name, or one that an alias of it leads to.
+void keep_relevant(dns::Message& message) {
+  std::vector<dns::Record> kept;
+  dns::Question at = *message.question;
+  for (const auto& record : message.answers) {
+    at.type = record.type;
+    at.klass = record.klass;
+    if (!at.same({record.name, record.type, record.klass})) continue;
+    kept.push_back(record);
+    if (record.type == dns::type::cname) at.name = record.data;
+  }
+  message.answers = std::move(kept);
+}
+
+}  // namespace
+
+EnumFront::EnumFront(Clock& clock, Deadlines& deadlines, Connections& net, Datagrams& datagrams,
+                     Router& router, const EnumConfig& config)
+    : clock_(clock),
+      deadlines_(deadlines),
+      net_(net),
+      datagrams_(datagrams),
+      router_(router),
+      config_(config) {}
+
+void EnumFront::listen() {
+  // UDP takes the port that TCP was given, where the file leaves the choice to the system.
+  const auto at = net_.listen(config_.listen, *this, "resolver", most_connections);
+  socket_ = datagrams_.bind(at, *this);
+}
+
+// ---- Queries ------------------------------------------------------------------------------------------
+
+void EnumFront::on_datagram(Handle, const Address& from, const std::string& bytes) {
+  on_query({from, no_handle}, bytes);
+}
+
+void EnumFront::on_connected(Handle connection) { expect_query(connection); }
+
+void EnumFront::on_input(Handle connection, evbuffer* in) {
+  std::string message;
+  while (net_.has(connection)) {
+    switch (next_counted(in, 2, most_query, message)) {
+      case Framed::none:
+        return;
+      case Framed::over_long:
+        return net_.close(connection, reason::over_long);
+      case Framed::one:
+        break;
+    }
+    if (message.size() < dns::header_size) return net_.close(connection, reason::malformed);
+    expect_query(connection);
+    on_query({{}, connection}, message);
+  }
+}
+
+void EnumFront::expect_query(Handle connection) {
+  deadlines_.cancel(idle_[connection]);
+  idle_[connection] = deadlines_.set(clock_.now() + idle_connection_ms, [this, connection] {
+    idle_[connection] = {};
+    const bool waits = std::any_of(asked_.begin(), asked_.end(), [connection](const auto& each) {
+      return each.second.client.connection == connection;
+    });
+    if (waits) return expect_query(connection);
+    net_.close(connection, reason::idle);
+  });
+}
+
+void EnumFront::on_ended(Handle connection, const char*) {
+  deadlines_.cancel(idle_[connection]);
+  idle_.erase(connection);
+  std::vector<Handle> left;
+  for (const auto& [request, asked] : asked_) {
+    if (asked.client.connection == connection) left.push_back(request);
+  }
+  for (const auto request : left) {
+    take(request);
+    router_.caller_left(request);
+  }
+}
+
+void EnumFront::on_query(const Client& client, const std::string& bytes) {
+  const auto header = dns::read_header(bytes);
+  // Guards against two servers that answer each other for ever: nothing but a query is answered.
+  if (!header || header->response) return;
+  dns::Message bare;
+  bare.id = header->id;
+  bare.opcode = header->opcode;
+  bare.recursion_desired = header->recursion_desired;
+  if (header->opcode != 0) return reply(client, bare, dns::rcode::not_imp);
+  auto query = dns::read_message(bytes);
+  if (!query || !query->question || !query->answers.empty() || !query->authority.empty()) {
+    return reply(client, bare, dns::rcode::form_err);
+  }
+  if (query->edns && query->edns->version != 0) return reply(client, *query, dns::rcode::bad_vers);
+  const auto& question = *query->question;
+  if (question.klass != dns::class_in || question.type != dns::type::naptr || door_closed_) {
+    return reply(client, *query, dns::rcode::refused);
+  }
+  open_request(client, std::move(*query));
+}
+
+void EnumFront::open_request(const Client& client, dns::Message query) {
+  const auto number = dns::number_of(query.question->name, config_.suffix);
+  const auto* range = number ? config_.range_of(*number) : nullptr;
+  if (range == nullptr || asked_.size() >= most_open) return reply(client, query, dns::rcode::refused);
+  Key key{client, query.id, query.question->name};
+  // A client that asks again while its request is open gets the one answer that is under way.
+  if (open_.contains(key)) return;
+  Request request;
+  request.traffic_class = range->traffic_class;
+  request.circuits = config_.settings.classes[range->traffic_class].circuits;
+  request.class_name = config_.settings.classes[range->traffic_class].name;
+  request.left_ms = range->deadline_ms;
+  request.destination = range->destination;
+  request.name = dns::name_to_text(query.question->name);
+  request.key = *number;
+  std::from_chars(number->data(), number->data() + number->size(), request.number_called);
+  dns::Message asked;
+  asked.recursion_desired = query.recursion_desired;
+  asked.checking_disabled = query.checking_disabled;
+  asked.question = query.question;
+  asked.edns = dns::Edns{};
+  asked.edns->udp_size = dns::own_udp_size;
+  asked.edns->dnssec_ok = query.edns && query.edns->dnssec_ok;
+  request.body = dns::write_message(asked);
+  router_.offer(*this, std::move(request), [&](Handle handle) {
+    open_[key] = handle;
+    asked_[handle] = {client, std::move(query), key};
+  });
+}
+
+// ---- Answers --------------------------------------------------------------------------------------------
+
+std::optional<EnumFront::Asked> EnumFront::take(Handle request) {
+  const auto it = asked_.find(request);
+  if (it == asked_.end()) return std::nullopt;
+  auto asked = std::move(it->second);
+  asked_.erase(it);
+  open_.erase(asked.key);
+  return asked;
+}
+
+void EnumFront::served(Handle request, const std::string& bytes) {
+  const auto asked = take(request);
+  auto answer = dns::read_message(bytes);
+  if (!asked || !answer) return;
+  keep_relevant(*answer);
+  // Of the authority only what makes a denial complete: the zone's SOA, and what signs it.
+  std::erase_if(answer->authority, [](const auto& record) {
+    return record.type != dns::type::soa && record.type != 46 && record.type != 47 && record.type != 50;
+  });
+  write(asked->client, asked->query, std::move(*answer));
+}
+
+void EnumFront::refused(Handle request, double) {
+  if (const auto asked = take(request)) reply(asked->client, asked->query, dns::rcode::refused);
+}
+
+void EnumFront::failed(Handle request) {
+  if (const auto asked = take(request)) reply(asked->client, asked->query, dns::rcode::serv_fail);
+}
+
+void EnumFront::reply(const Client& client, const dns::Message& query, std::uint16_t rcode) {
+  dns::Message answer;
+  answer.rcode = rcode;
+  write(client, query, std::move(answer));
+}
+
+void EnumFront::write(const Client& client, const dns::Message& query, dns::Message answer) {
+  answer.id = query.id;
+  answer.response = true;
+  answer.opcode = query.opcode;
+  answer.truncated = false;
+  answer.authoritative = false;
+  answer.recursion_desired = query.recursion_desired;
+  answer.recursion_available = true;
+  answer.checking_disabled = query.checking_disabled;
+  answer.question = query.question;
+  answer.edns.reset();
+  if (query.edns) {
+    answer.edns = dns::Edns{};
+    answer.edns->udp_size = dns::own_udp_size;
+    answer.edns->dnssec_ok = query.edns->dnssec_ok;
+  }
+  if (client.connection != no_handle) {
+    const auto bytes = dns::write_fitting(answer, 65535);
+    std::string framed;
+    put_big_endian(framed, bytes.size(), 2);
+    net_.write(client.connection, framed + bytes);
+    return;
+  }
+  const std::size_t most = query.edns ? query.edns->udp_size : dns::plain_udp_size;
+  datagrams_.send_to(socket_, client.address, dns::write_fitting(answer, most));
+}
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/enum/front.hpp
@@ -0,0 +1,68 @@
+// The ENUM front: NAPTR queries for numbers, over UDP and TCP, as requests.
+#pragma once
+
+#include <map>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+#include "config/enum_config.hpp"
+#include "core/router.hpp"
+#include "enum/dns.hpp"
+#include "net/connections.hpp"
+#include "net/datagrams.hpp"
+
+namespace heathturn {
+
+class EnumFront : public Front, public ConnectionUser, public DatagramUser {
+ public:
+  EnumFront(Clock& clock, Deadlines& deadlines, Connections& net, Datagrams& datagrams, Router& router,
+            const EnumConfig& config);
+  void listen();
+  void close_door() { door_closed_ = true; }
+
+  void served(Handle request, const std::string& answer) override;
+  void refused(Handle request, double wait_ms) override;
+  void failed(Handle request) override;
+  void over(Handle, CallEnd) override {}
+
+  void on_datagram(Handle socket, const Address& from, const std::string& bytes) override;
+  void on_connected(Handle connection) override;
+  void on_input(Handle connection, evbuffer* in) override;
+  void on_ended(Handle connection, const char* reason) override;
+
+ private:
+  /// Where an answer goes: to an address, or down a connection.
+  struct Client {
+    Address address;
+    Handle connection = no_handle;
+    auto operator<=>(const Client&) const = default;
+  };
+  using Key = std::tuple<Client, std::uint16_t, std::string>;  ///< with the id and the question
+  struct Asked {
+    Client client;
+    dns::Message query;
+    Key key;
+  };
+  void on_query(const Client& client, const std::string& bytes);
+  void open_request(const Client& client, dns::Message query);
+  void reply(const Client& client, const dns::Message& query, std::uint16_t rcode);
+  void write(const Client& client, const dns::Message& query, dns::Message answer);
+  /// Takes the request out of the tables; nothing when its client has left.
+  std::optional<Asked> take(Handle request);
+  void expect_query(Handle connection);
+
+  Clock& clock_;
+  Deadlines& deadlines_;
+  Connections& net_;
+  Datagrams& datagrams_;
+  Router& router_;
+  const EnumConfig& config_;
+  Handle socket_ = no_handle;
+  std::unordered_map<Handle, Asked> asked_;
+  std::map<Key, Handle> open_;
+  std::map<Handle, Deadlines::Key> idle_;  ///< by connection
+  bool door_closed_ = false;
+};
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/enum/upstreams.hpp
@@ -0,0 +1,67 @@
+// The name servers that answer ENUM look-ups: the carrier of the ENUM front. An attempt is one look-up at one
+// server, over UDP from a port of its own, and over TCP when the answer comes back truncated.
+#pragma once
+
+#include <map>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "core/router.hpp"
+#include "enum/dns.hpp"
+#include "net/connections.hpp"
+#include "net/datagrams.hpp"
+#include "service.hpp"
+
+namespace heathturn {
+
+class Upstreams : public Carrier, public ConnectionUser, public DatagramUser {
+ public:
+  Upstreams(Clock& clock, Connections& net, Datagrams& datagrams, Router& router);
+  /// Servers that the list names, or names anew. `whole`: those it leaves out are gone.
+  void update(std::vector<Converter> list, bool whole);
+  [[nodiscard]] std::vector<ConverterView> view() const;
+
+  void send(Handle attempt, ExchangeId exchange, const Request& request, double left_ms) override;
+  void give_up(Handle attempt) override;
+  void release(Handle attempt) override { give_up(attempt); }
+  void probe(ExchangeId exchange) override { router_.report(exchange, {}, false); }
+
+  void on_datagram(Handle socket, const Address& from, const std::string& bytes) override;
+  void on_refused(Handle socket) override;
+  void on_connected(Handle connection) override;
+  void on_input(Handle connection, evbuffer* in) override;
+  void on_ended(Handle connection, const char* reason) override;
+
+ private:
+  struct Server {
+    Converter converter;
+    std::uint32_t out = 0;
+  };
+  struct LookUp {
+    ExchangeId exchange;
+    dns::Message query;
+    Handle socket = no_handle;
+    Handle connection = no_handle;
+    double due = 0;
+  };
+  ExchangeId id_of(const std::string& name);
+  void tell_group(ExchangeId exchange);
+  void forget(Handle attempt);
+  void end(Handle attempt, maddershed::Result result, maddershed::Cause cause = maddershed::Cause::none);
+  void take_answer(Handle attempt, const std::string& bytes, bool over_tcp);
+  std::uint16_t unpredictable() { return static_cast<std::uint16_t>(random_()); }
+
+  Clock& clock_;
+  Connections& net_;
+  Datagrams& datagrams_;
+  Router& router_;
+  std::random_device random_;  // the system's own source, which no answer seen before foretells
+  std::map<std::string, ExchangeId> ids_;
+  std::map<ExchangeId, Server> servers_;
+  std::unordered_map<Handle, LookUp> look_ups_;   ///< by attempt
+  std::unordered_map<Handle, Handle> by_socket_;  ///< attempts
+  std::unordered_map<Handle, Handle> by_connection_;
+};
+
+}  // namespace heathturn
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,32 +2,79 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <cstdlib>
+#include <random>
 
-#include "platform/program.hpp"
+#include "config/enum_config.hpp"
+#include "enum/enum_service.hpp"
+#include "platform/platform_service.hpp"
+#include "program.hpp"
+
+namespace {
+
+using namespace heathturn;
+
+constexpr const char* version = "0.2.0";
+
+struct Files {
+  std::string config;
+  std::string enum_file;
+};
+
+std::uint64_t fresh_seed() {
+  std::random_device random;
+  return static_cast<std::uint64_t>(random()) << 32 | random();
+}
+
+int check(const Files& files) {
+  if (!files.config.empty()) {
+    const auto config = parse_config(read_file(files.config));
+    std::printf("%s: in order, %zu converters known\n", files.config.c_str(), config.known.size());
+  }
+  if (!files.enum_file.empty()) {
+    const auto config = parse_enum_config(read_file(files.enum_file));
+    std::printf("%s: in order, %zu upstreams, %zu ranges of numbers\n", files.enum_file.c_str(),
+                config.upstreams.size(), config.numbers.size());
+  }
+  return 0;
+}
+
+int serve(const Files& files) {
+  std::optional<Config> config;
+  if (!files.config.empty()) config = parse_config(read_file(files.config));
+  std::optional<EnumConfig> enum_config;
+  if (!files.enum_file.empty()) enum_config = parse_enum_config(read_file(files.enum_file));
+  Program program(config ? config->name : "heathturn");
+  if (config) program.add(std::make_unique<PlatformService>(program, std::move(*config)));
+  if (enum_config) {
+    program.add(std::make_unique<EnumService>(program, std::move(*enum_config), fresh_seed()));
+  }
+  return program.run();
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app{"heathturn, a call router"};
   app.require_subcommand(1);
-  std::string path;
-  if (const char* given = std::getenv("PROXY_CONFIG")) path = given;
-  auto* serve = app.add_subcommand("serve", "Route calls until SIGTERM");
-  auto* check = app.add_subcommand("check-config", "Read the configuration and say what is wrong with it");
-  for (auto* each : {serve, check}) {
-    each->add_option("--config", path, "The configuration file (default: $PROXY_CONFIG)");
+  Files files;
+  if (const char* given = std::getenv("PROXY_CONFIG")) files.config = given;
+  auto* serving = app.add_subcommand("serve", "Route calls and look-ups until SIGTERM");
+  auto* checking = app.add_subcommand("check-config", "Read the configuration and say what is wrong with it");
+  for (auto* each : {serving, checking}) {
+    each->add_option("--config", files.config, "The platform's configuration (default: $PROXY_CONFIG)");
+    each->add_option("--enum", files.enum_file, "The file of the ENUM front; without it there is none");
   }
-  app.add_subcommand("version", "Print the version");
+  auto* versions = app.add_subcommand("version", "Print the version");
   CLI11_PARSE(app, argc, argv);
   try {
-    if (app.got_subcommand("version")) {
-      std::printf("heathturn %s\n", heathturn::program_version);
+    if (versions->parsed()) {
+      std::printf("heathturn %s\n", version);
       return 0;
     }
-    const auto config = heathturn::parse_config(heathturn::read_file(path));
-    if (app.got_subcommand(check)) {
-      std::printf("%s: in order, %zu converters known\n", path.c_str(), config.known.size());
-      return 0;
+    if (files.config.empty() && files.enum_file.empty()) {
+      throw InputError("no configuration: give --config or --enum, or set PROXY_CONFIG");
     }
-    return heathturn::serve(config);
+    return checking->parsed() ? check(files) : serve(files);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "heathturn: %s\n", error.what());
     return 1;
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -103,7 +103,7 @@
   return handle;
 }
 
-void Connections::listen(const Address& at, ConnectionUser& user, const char* side, std::size_t most) {
+Address Connections::listen(const Address& at, ConnectionUser& user, const char* side, std::size_t most) {
   const auto address = at.to_sockaddr();
   evconnlistener* handle = evconnlistener_new_bind(
       base_.get(), nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 512,
@@ -116,6 +116,7 @@
   socklen_t length = sizeof bound;
   getsockname(evconnlistener_get_fd(handle), reinterpret_cast<sockaddr*>(&bound), &length);
   log_(std::string("listening side=") + side + " at=" + Address::from(bound).text());
+  return Address::from(bound);
 }
 
 void Connections::listen_local(const std::string& path, ConnectionUser& user, const char* side,
--- a/src/net/connections.hpp
+++ b/src/net/connections.hpp
@@ -33,6 +33,7 @@
 inline constexpr const char* silent = "silent";
 inline constexpr const char* too_many = "too_many";
 inline constexpr const char* withdrawn = "withdrawn";
+inline constexpr const char* idle = "idle";
 inline constexpr const char* finished = "finished";
 }  // namespace reason
 
@@ -60,8 +61,8 @@
 
   /// `side` names the kind of peer in the log.
   Handle connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms);
-  /// Throws std::runtime_error when the address cannot be had.
-  void listen(const Address& at, ConnectionUser& user, const char* side, std::size_t most);
+  /// Returns where it listens. Throws std::runtime_error when the address cannot be had.
+  Address listen(const Address& at, ConnectionUser& user, const char* side, std::size_t most);
   void listen_local(const std::string& path, ConnectionUser& user, const char* side, std::size_t most);
   /// False when the connection is gone, or ends here because the peer does not read.
   bool write(Handle connection, std::string_view bytes);
--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -76,6 +76,7 @@
   for (auto at = head_size; at < frame.size(); at += record_size) {
     Converter each;
     each.entry.exchange.value = static_cast<std::uint32_t>(big_endian(frame, at, 4));
+    each.name = exchange_text(each.entry.exchange);
     each.address.host = static_cast<std::uint32_t>(big_endian(frame, at + 4, 4));
     each.address.port = static_cast<std::uint16_t>(big_endian(frame, at + 8, 2));
     const auto state = big_endian(frame, at + 10, 1);
--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -86,6 +86,16 @@
   });
 }
 
+std::vector<ConverterView> Converters::view() const {
+  std::vector<ConverterView> out;
+  for (const auto& [id, link] : links_) {
+    const auto open =
+        std::count_if(link.lines.begin(), link.lines.end(), [](const Line& l) { return l.open; });
+    out.push_back({link.converter, static_cast<std::size_t>(open)});
+  }
+  return out;
+}
+
 // ---- Connections ----------------------------------------------------------------------------------------
 
 void Converters::open(Link& link, std::size_t line) {
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -13,6 +13,7 @@
 #include "net/connections.hpp"
 #include "net/framing.hpp"
 #include "platform/message.hpp"
+#include "service.hpp"
 
 namespace heathturn {
 
@@ -27,6 +28,7 @@
   void release_anywhere(const std::string& call, int why);
   /// Each converter in service has told the state of its group.
   [[nodiscard]] bool all_heard() const;
+  [[nodiscard]] std::vector<ConverterView> view() const;
 
   void send(Handle attempt, ExchangeId exchange, const Request& request, double left_ms) override;
   void give_up(Handle attempt) override;
--- /dev/null
+++ b/src/platform/platform_service.hpp
@@ -0,0 +1,32 @@
+// The platform's front, converters and event bus round one core.
+#pragma once
+
+#include <memory>
+
+#include "platform/bus.hpp"
+#include "platform/callers.hpp"
+#include "platform/converters.hpp"
+#include "program.hpp"
+
+namespace heathturn {
+
+class PlatformService : public Service {
+ public:
+  PlatformService(Program& program, Config config);
+  [[nodiscard]] const char* kind() const override { return "platform"; }
+  void start() override;
+  void close_door() override { callers_.close_door(); }
+  [[nodiscard]] Router& router() override { return router_; }
+  [[nodiscard]] std::vector<ConverterView> converters() const override { return converters_.view(); }
+  [[nodiscard]] double longest_ms() const override { return config_.longest_give_up_ms; }
+
+ private:
+  Program& program_;
+  Config config_;
+  Router router_;
+  Converters converters_;
+  Callers callers_;
+  std::unique_ptr<EventBus> bus_;
+};
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/program.hpp
@@ -0,0 +1,49 @@
+// The program: its services on one loop, and its life from start to SIGTERM.
+#pragma once
+
+#include <csignal>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "core/deadlines.hpp"
+#include "net/connections.hpp"
+#include "net/datagrams.hpp"
+#include "service.hpp"
+
+namespace heathturn {
+
+class Program {
+ public:
+  explicit Program(std::string name);
+  void add(std::unique_ptr<Service> service) { services_.push_back(std::move(service)); }
+  /// Serves until SIGTERM, SIGINT or drain(); returns the exit status.
+  int run();
+  /// Takes work a little longer, answers all that it has taken, and ends.
+  void drain();
+  void log(const std::string& text);
+
+  [[nodiscard]] Clock& clock() { return clock_; }
+  [[nodiscard]] Deadlines& deadlines() { return deadlines_; }
+  [[nodiscard]] Connections& net() { return net_; }
+  [[nodiscard]] Datagrams& datagrams() { return datagrams_; }
+  [[nodiscard]] const std::vector<std::unique_ptr<Service>>& services() const { return services_; }
+  [[nodiscard]] bool draining() const { return draining_; }
+  [[nodiscard]] double started() const { return started_; }
+
+ private:
+  void stop_when_done();
+
+  std::string name_;
+  Clock clock_;
+  Deadlines deadlines_;
+  Connections net_;
+  Datagrams datagrams_;
+  std::vector<std::unique_ptr<Service>> services_;
+  double started_ = 0;
+  double last_call_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace heathturn
