--- /dev/null
+++ b/src/console/console.cpp
@@ -0,0 +1,204 @@
+#include "console/console.hpp"
+
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <iostream>
+#include <stdexcept>
+
+#include "net/framing.hpp"
+
+namespace heathturn {
+namespace {
+
+constexpr std::size_t most_consoles = 4;
+constexpr std::size_t most_command = 256;
+constexpr std::size_t most_calls = 200;  // rows shown
+
+constexpr const char* help =
+    "status      what is running, and what it has done\n"
+    "converters  each converter or upstream, its state and its connections\n"
+    "calls       requests in work and calls that stand\n"
+    "drain       take no new work, answer what is open, and end the program\n"
+    "quit        leave the console\n";
+
+const char* state_text(maddershed::ExchangeState state) {
+  switch (state) {
+    case maddershed::ExchangeState::ready:
+      return "ready";
+    case maddershed::ExchangeState::draining:
+      return "draining";
+    case maddershed::ExchangeState::gone:
+      break;
+  }
+  return "gone";
+}
+
+template <typename... Values>
+std::string row(const char* format, Values... values) {
+  char buffer[512];
+  std::snprintf(buffer, sizeof buffer, format, values...);
+  return buffer;
+}
+
+}  // namespace
+
+Console::Console(Program& program, std::string path, std::string version)
+    : program_(program), path_(std::move(path)), version_(std::move(version)) {
+  program_.net().listen_local(path_, *this, "console", most_consoles);
+}
+
+Console::~Console() { ::unlink(path_.c_str()); }
+
+void Console::on_input(Handle connection, evbuffer* in) {
+  auto& net = program_.net();
+  std::string line;
+  while (net.has(connection)) {
+    switch (next_line(in, most_command, line)) {
+      case Framed::none:
+        return;
+      case Framed::over_long:
+        return net.close(connection, reason::over_long);
+      case Framed::one:
+        break;
+    }
+    if (line == "quit") return net.finish(connection);
+    // A line with a full stop alone ends each answer.
+    net.write(connection, answer(line) + ".\n");
+  }
+}
+
+std::string Console::answer(const std::string& command) {
+  if (command == "status") return status();
+  if (command == "converters") return converters();
+  if (command == "calls") return calls();
+  if (command == "help") return help;
+  if (command != "drain") return "unknown command; help lists them\n";
+  program_.drain();
+  return "draining\n";
+}
+
+std::string Console::status() {
+  const double up = (program_.clock().now() - program_.started()) / 1000;
+  auto out = row("heathturn %s, up %.0f s%s, %zu connections\n", version_.c_str(), up,
+                 program_.draining() ? ", draining" : "", program_.net().size());
+  for (const auto& service : program_.services()) {
+    auto& router = service->router();
+    const auto& n = router.counts();
+    out +=
+        row("%s: open %zu, standing %zu, offered %llu, served %llu, refused %llu, failed %llu, left %llu, "
+            "cut %llu, attempts %llu\n",
+            service->kind(), router.open(), router.standing(), static_cast<unsigned long long>(n.offered),
+            static_cast<unsigned long long>(n.served), static_cast<unsigned long long>(n.refused),
+            static_cast<unsigned long long>(n.failed), static_cast<unsigned long long>(n.left),
+            static_cast<unsigned long long>(n.cut), static_cast<unsigned long long>(n.attempts));
+  }
+  return out;
+}
+
+std::string Console::converters() {
+  auto out =
+      row("%-10s %-28s %-22s %6s %-9s %11s\n", "front", "name", "address", "number", "state", "connections");
+  for (const auto& service : program_.services()) {
+    for (const auto& [converter, connections] : service->converters()) {
+      out += row("%-10s %-28s %-22s %6d %-9s %11zu\n", service->kind(), converter.name.c_str(),
+                 converter.address.text().c_str(), static_cast<int>(converter.entry.number),
+                 state_text(converter.entry.state), connections);
+    }
+  }
+  return out;
+}
+
+std::string Console::calls() {
+  auto out = row("%-10s %-40s %-16s %-8s %8s %9s\n", "front", "call", "class", "state", "attempts", "age_s");
+  std::size_t shown = 0, all = 0;
+  for (const auto& service : program_.services()) {
+    for (const auto& call : service->router().calls()) {
+      if (++all > most_calls) continue;
+      ++shown;
+      out += row("%-10s %-40s %-16s %-8s %8u %9.1f\n", service->kind(), call.name.c_str(),
+                 call.class_name.c_str(), call.standing ? "standing" : "open", call.attempts,
+                 call.age_ms / 1000);
+    }
+  }
+  if (all > shown) out += row("and %zu more\n", all - shown);
+  return out;
+}
+
+// ---- The client -----------------------------------------------------------------------------------------
+
+namespace {
+
+class ConsoleClient {
+ public:
+  explicit ConsoleClient(const std::string& path) {
+    sockaddr_un address{};
+    address.sun_family = AF_UNIX;
+    if (path.empty() || path.size() >= sizeof address.sun_path) {
+      throw std::runtime_error("no usable socket path: give --socket");
+    }
+    std::memcpy(address.sun_path, path.c_str(), path.size());
+    descriptor_ = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (::connect(descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+      const std::string why = std::strerror(errno);
+      ::close(descriptor_);
+      throw std::runtime_error("no console at " + path + ": " + why);
+    }
+  }
+  ~ConsoleClient() { ::close(descriptor_); }
+  ConsoleClient(const ConsoleClient&) = delete;
+  ConsoleClient& operator=(const ConsoleClient&) = delete;
+
+  /// Prints the answer; false when the program has closed the console.
+  bool command(const std::string& words) {
+    const auto line = words + "\n";
+    if (::send(descriptor_, line.data(), line.size(), MSG_NOSIGNAL) < 0) return false;
+    while (true) {
+      const auto end = input_.find('\n');
+      if (end == std::string::npos) {
+        char buffer[4096];
+        const auto got = ::recv(descriptor_, buffer, sizeof buffer, 0);
+        if (got <= 0) return false;
+        input_.append(buffer, static_cast<std::size_t>(got));
+        continue;
+      }
+      const auto text = input_.substr(0, end);
+      input_.erase(0, end + 1);
+      if (text == ".") return true;
+      std::cout << text << '\n';
+    }
+  }
+
+ private:
+  int descriptor_ = -1;
+  std::string input_;
+};
+
+}  // namespace
+
+int run_console(const std::string& path, const std::vector<std::string>& command) {
+  ConsoleClient client(path);
+  if (!command.empty()) {
+    std::string words;
+    for (const auto& each : command) words += (words.empty() ? "" : " ") + each;
+    return client.command(words) || words == "quit" ? 0 : 1;
+  }
+  const bool terminal = ::isatty(0) != 0;
+  std::string line;
+  while (true) {
+    if (terminal) std::cout << "heathturn> " << std::flush;
+    if (!std::getline(std::cin, line)) return 0;
+    if (line.empty()) continue;
+    if (!client.command(line)) break;
+    std::cout << std::flush;
+  }
+  if (line == "quit") return 0;
+  std::cerr << "heathturn: the program has ended\n";
+  return 1;
+}
+
+}  // namespace heathturn
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -10,8 +10,8 @@
 
 Router::Router(Clock& clock, Deadlines& deadlines, const Settings& settings, std::uint64_t seed)
     : Router(clock, deadlines, to_ms(settings.release_wait),
-             [module = std::make_shared<CallController>(settings, seed)](
-                 Time now, const Event& event, std::vector<Action>& actions) {
+             [module = std::make_shared<CallController>(settings, seed)](Time now, const Event& event,
+                                                                         std::vector<Action>& actions) {
                module->handle(now, event, actions);
              }) {}
 
@@ -59,6 +59,7 @@
   Open open;
   open.request = std::move(request);
   open.front = &front;
+  open.since = now;
   open.deadline = now + left;
   const auto handle = requests_.add(std::move(open));
   ++open_;
@@ -220,6 +221,16 @@
   return it == standing_at_.end() ? 0 : it->second;
 }
 
+std::vector<Router::CallView> Router::calls() {
+  std::vector<CallView> out;
+  for (const auto handle : requests_.handles()) {
+    const auto& open = *requests_.find(handle);
+    out.push_back({open.request.name, open.request.class_name, open.standing, open.attempts,
+                   clock_.now() - open.since});
+  }
+  return out;
+}
+
 void Router::stands(Handle id, const std::string& answer) {
   auto* attempt = attempts_.find(id);
   if (attempt == nullptr) return;
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -102,9 +102,13 @@
   [[nodiscard]] std::size_t standing() const { return requests_.size() - open_; }
   [[nodiscard]] std::size_t standing_at(ExchangeId exchange) const;
   [[nodiscard]] const Counts& counts() const { return counts_; }
-  [[nodiscard]] const std::map<ExchangeId, maddershed::DirectoryEntry>& exchanges() const {
-    return exchanges_;
-  }
+  struct CallView {
+    std::string name, class_name;
+    bool standing = false;
+    std::uint32_t attempts = 0;
+    double age_ms = 0;
+  };
+  [[nodiscard]] std::vector<CallView> calls();
 
  private:
   struct Attempt {
@@ -118,6 +122,7 @@
   struct Open {
     Request request;
     Front* front = nullptr;
+    double since = 0;
     double deadline = 0;  ///< before the caller gives up
     double not_before = 0;
     Deadlines::Key backstop;
--- a/src/enum/enum_service.hpp
+++ b/src/enum/enum_service.hpp
@@ -1,8 +1,11 @@
 // The ENUM front and its upstreams round a core of their own.
 #pragma once
 
+#include <memory>
+
 #include "enum/front.hpp"
 #include "enum/upstreams.hpp"
+#include "eureka/client.hpp"
 #include "program.hpp"
 
 namespace heathturn {
@@ -16,12 +19,17 @@
   [[nodiscard]] Router& router() override { return router_; }
   [[nodiscard]] std::vector<ConverterView> converters() const override { return upstreams_.view(); }
   [[nodiscard]] double longest_ms() const override { return config_.longest_deadline_ms; }
+  void leave() override {
+    if (eureka_) eureka_->deregister();
+  }
+  [[nodiscard]] bool leaving() const override { return eureka_ && eureka_->deregistering(); }
 
  private:
   EnumConfig config_;
   Router router_;
   Upstreams upstreams_;
   EnumFront front_;
+  std::unique_ptr<EurekaClient> eureka_;
 };
 
 }  // namespace heathturn
--- a/src/enum/front.cpp
+++ b/src/enum/front.cpp
@@ -38,10 +38,11 @@
       router_(router),
       config_(config) {}
 
-void EnumFront::listen() {
+Address EnumFront::listen() {
   // UDP takes the port that TCP was given, where the file leaves the choice to the system.
   const auto at = net_.listen(config_.listen, *this, "resolver", most_connections);
   socket_ = datagrams_.bind(at, *this);
+  return at;
 }
 
 // ---- Queries ------------------------------------------------------------------------------------------
--- a/src/enum/front.hpp
+++ b/src/enum/front.hpp
@@ -18,7 +18,8 @@
  public:
   EnumFront(Clock& clock, Deadlines& deadlines, Connections& net, Datagrams& datagrams, Router& router,
             const EnumConfig& config);
-  void listen();
+  /// Returns where it listens.
+  Address listen();
   void close_door() { door_closed_ = true; }
 
   void served(Handle request, const std::string& answer) override;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "config/enum_config.hpp"
+#include "console/console.hpp"
 #include "enum/enum_service.hpp"
 #include "platform/platform_service.hpp"
 #include "program.hpp"
@@ -18,6 +19,7 @@
 struct Files {
   std::string config;
   std::string enum_file;
+  std::string console;
 };
 
 std::uint64_t fresh_seed() {
@@ -43,11 +45,15 @@
   if (!files.config.empty()) config = parse_config(read_file(files.config));
   std::optional<EnumConfig> enum_config;
   if (!files.enum_file.empty()) enum_config = parse_enum_config(read_file(files.enum_file));
+  auto console_path = files.console;
+  if (console_path.empty() && enum_config) console_path = enum_config->console;
   Program program(config ? config->name : "heathturn");
   if (config) program.add(std::make_unique<PlatformService>(program, std::move(*config)));
   if (enum_config) {
     program.add(std::make_unique<EnumService>(program, std::move(*enum_config), fresh_seed()));
   }
+  std::optional<Console> console;
+  if (!console_path.empty()) console.emplace(program, console_path, version);
   return program.run();
 }
 
@@ -64,6 +70,13 @@
     each->add_option("--config", files.config, "The platform's configuration (default: $PROXY_CONFIG)");
     each->add_option("--enum", files.enum_file, "The file of the ENUM front; without it there is none");
   }
+  serving->add_option("--console", files.console, "Unix socket of the console; without it there is none");
+  auto* console =
+      app.add_subcommand("console", "Ask the running program: status, converters, calls, drain, quit");
+  std::string socket;
+  std::vector<std::string> command;
+  console->add_option("--socket", socket, "The program's console socket")->required();
+  console->add_option("command", command, "One command; with none they are read from standard input");
   auto* versions = app.add_subcommand("version", "Print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -71,6 +84,7 @@
       std::printf("heathturn %s\n", version);
       return 0;
     }
+    if (console->parsed()) return run_console(socket, command);
     if (files.config.empty() && files.enum_file.empty()) {
       throw InputError("no configuration: give --config or --enum, or set PROXY_CONFIG");
     }
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -125,7 +125,15 @@
   address.sun_family = AF_UNIX;
   if (path.size() >= sizeof address.sun_path) throw std::runtime_error("socket path is too long: " + path);
   std::memcpy(address.sun_path, path.c_str(), path.size());
-  ::unlink(path.c_str());
+  // What an earlier process left there goes; what one still answers on, or what is no socket, stays.
+  struct stat found {};
+  if (::lstat(path.c_str(), &found) == 0) {
+    const int probe = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const bool taken = ::connect(probe, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    ::close(probe);
+    if (taken || !S_ISSOCK(found.st_mode)) throw std::runtime_error("in use by something else: " + path);
+    ::unlink(path.c_str());
+  }
   const auto before = ::umask(0177);
   evconnlistener* handle =
       evconnlistener_new_bind(base_.get(), nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 8,
--- a/tests/router/codec_test.cpp
+++ b/tests/router/codec_test.cpp
@@ -4,6 +4,7 @@
 #include "config/enum_config.hpp"
 #include "core/router.hpp"
 #include "enum/dns.hpp"
+#include "eureka/instances.hpp"
 #include "net/connections.hpp"
 #include "platform/message.hpp"
 
@@ -126,6 +127,40 @@
   CHECK_FALSE(dns::name_from_text(std::string(64, 'a') + ".b"));
 }
 
+// ---- Eureka ---------------------------------------------------------------------------------------------
+
+std::string instance(const std::string& id, const std::string& status, const std::string& action = "ADDED") {
+  return R"({"instanceId":")" + id + R"(","ipAddr":"127.0.0.1","status":")" + status + R"(","actionType":")" +
+         action + R"(","port":{"$":"5301","@enabled":"true"},"metadata":{"number":"3","lookups":"7"}})";
+}
+std::string listed(const std::string& hash, const std::string& instances) {
+  return R"({"applications":{"versions__delta":"1","apps__hashcode":")" + hash +
+         R"(","application":[{"name":"NS","instance":)" + instances + "}]}}";
+}
+
+TEST_CASE("a registry's list, its changes and its statuses") {
+  EurekaInstances list;
+  list.take_all(listed("UP_1_", instance("a", "UP")));  // one instance may stand without a list
+  REQUIRE(list.converters("ns").size() == 1);
+  const auto a = list.converters("ns")[0];
+  CHECK(a.name == "a");
+  CHECK(a.address.port == 5301);
+  CHECK(a.entry.number == 3);
+  CHECK(a.circuits == 7);
+  CHECK(list.converters("other").empty());
+  CHECK(list.take_delta(listed("DOWN_1_OUT_OF_SERVICE_1_", "[" + instance("a", "OUT_OF_SERVICE", "MODIFIED") +
+                                                               "," + instance("b", "DOWN") + "]")));
+  REQUIRE(list.converters("NS").size() == 2);
+  CHECK(list.converters("NS")[0].entry.state == maddershed::ExchangeState::draining);
+  CHECK(list.converters("NS")[1].entry.state == maddershed::ExchangeState::gone);
+  CHECK(list.take_delta(listed("OUT_OF_SERVICE_1_", "[" + instance("b", "DOWN", "DELETED") + "]")));
+  CHECK(list.converters("NS").size() == 1);
+  // A change was missed: the list stays, and all must be fetched.
+  CHECK_FALSE(list.take_delta(listed("UP_9_", "[" + instance("c", "UP") + "]")));
+  CHECK_THROWS_AS(list.take_all("<applications/>"), InputError);
+  CHECK(list.converters("NS").size() == 1);
+}
+
 // ---- Configuration --------------------------------------------------------------------------------------
 
 std::string error_for(std::string text, const std::string& from, const std::string& to) {
--- a/tests/router/enum_test.cpp
+++ b/tests/router/enum_test.cpp
@@ -1,95 +1,9 @@
 // The real program as an ENUM server: the tests are its resolvers, and the name servers it asks.
-#include <thread>
-
-#include "config/config.hpp"
-#include "enum/dns.hpp"
-#include "net/framing.hpp"
-#include "stand_in.hpp"
+#include "enum_stand_in.hpp"
 
 namespace heathturn::test {
 namespace {
 
-constexpr int deadline_ms = 1500;
-
-/// Two name servers that the tests play: numbers under 64 go to the first, all others to the second.
-struct Enum {
-  std::vector<Socket> udp, tcp;
-  std::unique_ptr<TempFile> file;
-  std::unique_ptr<Process> program;
-  Address server;
-  Socket resolver = Socket::bound(SOCK_DGRAM);
-
-  explicit Enum(int lookups = 8, const std::string& more = "", bool only_eureka = false) {
-    std::string upstreams;
-    for (int i = 0; i < 2; ++i) {
-      udp.push_back(Socket::bound(SOCK_DGRAM));
-      tcp.push_back(Socket::bound(SOCK_STREAM, udp.back().address()));
-      upstreams += std::string(i > 0 ? "," : "") + R"({"name":"ns)" + std::to_string(i) + R"(","address":")" +
-                   udp.back().address().text() + R"(","number":)" + std::to_string(i) + R"(,"lookups":)" +
-                   std::to_string(lookups) + "}";
-    }
-    file = std::make_unique<TempFile>(
-        R"({"listen":"127.0.0.1:0","suffix":"enum.example.org","numbers":[
-        {"prefix":"64","destination":0,"deadline_ms":1500},{"prefix":"","destination":1,"deadline_ms":1500}],)" +
-        (only_eureka ? "" : R"("upstreams":[)" + upstreams + "],") + more +
-        R"("settings":{"balancers":1,"step_us":5000,
-        "classes":[{"name":"a","importance":1,"objective_us":1000000,"give_up_us":1500000}],
-        "specifics":{"network_form":"groups","home_no":-1,"skilled_pools":[]},
-        "limits":{"try_limit":3,"cancelling":true}}})");
-    program = std::make_unique<Process>(std::vector<std::string>{"serve", "--enum", file->path()});
-    server = program->listening("resolver");
-  }
-  static dns::Message query(const std::string& name, std::uint16_t id = 77) {
-    dns::Message out;
-    out.id = id;
-    out.recursion_desired = true;
-    out.question = dns::Question{*dns::name_from_text(name), dns::type::naptr, 1};
-    return out;
-  }
-  static std::string under(const std::string& labels) { return labels + ".enum.example.org"; }
-  void ask(const dns::Message& message) const { resolver.send_to(server, dns::write_message(message)); }
-  [[nodiscard]] dns::Message answer() const {
-    const auto message = dns::read_message(resolver.receive());
-    REQUIRE(message);
-    return *message;
-  }
-  dns::Message exchange(const dns::Message& message) const {
-    ask(message);
-    return answer();
-  }
-  struct Asked {
-    dns::Message message;
-    Address from;
-  };
-  [[nodiscard]] Asked asked(std::size_t which) const {
-    Asked out;
-    const auto message = dns::read_message(udp[which].receive(&out.from));
-    REQUIRE(message);
-    out.message = *message;
-    return out;
-  }
-  static dns::Record naptr(const dns::Message& query, const std::string& uri) {
-    const auto text = "!^.*$!" + uri + "!";
-    std::string data("\0\1\0\2\1u\7E2U+sip", 14);
-    data.push_back(static_cast<char>(text.size()));
-    return {query.question->name, dns::type::naptr, 1, 60, data + text + '\0'};
-  }
-  static dns::Message reply(const dns::Message& query, const std::string& uri, std::size_t records = 1) {
-    auto out = query;
-    out.response = true;
-    out.edns.reset();
-    for (std::size_t i = 0; i < records; ++i) out.answers.push_back(naptr(query, uri));
-    return out;
-  }
-  void send(std::size_t which, const Asked& to, const dns::Message& message) const {
-    udp[which].send_to(to.from, dns::write_message(message));
-  }
-};
-
-bool holds(const dns::Message& message, const std::string& text) {
-  return !message.answers.empty() && message.answers[0].data.find(text) != std::string::npos;
-}
-
 TEST_CASE("a number is looked up where its longest prefix leads, and answered") {
   const Enum e;
   e.ask(Enum::query("3.2.1.4.6.ENUM.example.org"));
--- a/tests/router/stand_in.hpp
+++ b/tests/router/stand_in.hpp
@@ -22,6 +22,7 @@
 #include <utility>
 #include <vector>
 
+#include "config/config.hpp"
 #include "net/address.hpp"
 #include "platform/message.hpp"
 
@@ -200,12 +201,14 @@
         if (at != std::string::npos) return line.substr(at + words.size());
       }
       INFO("waiting for the log to say: " << words);
-      REQUIRE(readable(output_, patience_ms));
-      char buffer[4096];
-      const auto got = ::read(output_, buffer, sizeof buffer);
-      REQUIRE(got > 0);
-      text_.append(buffer, static_cast<std::size_t>(got));
+      REQUIRE(fill());
+    }
+  }
+  /// All that it says until it closes its output.
+  std::string rest() {
+    while (fill()) {
     }
+    return std::exchange(text_, "");
   }
   Address listening(const std::string& side) { return *Address::parse(log("side=" + side + " at=")); }
   void signal(int number) const { ::kill(pid_, number); }
@@ -224,6 +227,13 @@
   }
 
  private:
+  bool fill() {
+    REQUIRE(readable(output_, patience_ms));
+    char buffer[4096];
+    const auto got = ::read(output_, buffer, sizeof buffer);
+    if (got > 0) text_.append(buffer, static_cast<std::size_t>(got));
+    return got > 0;
+  }
   pid_t pid_ = -1;
   int output_ = -1;
   std::string text_;
