Releases survive test connections and lost links; restarts cut only older calls

Found by reading the protocol against the code: a release could go down a health test's connection; one to an unreachable converter was dropped; late news of a restart cut calls that the new process had taken; an older whole list could undo a drain; a clock set back stopped all deadlines; closing at exit with unread input could reset the last answers. Each has a test or a comment on what is guarded.

--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -9,24 +9,28 @@
 
 namespace heathturn {
 
-/// Never goes back, even when the system's clock does: the decision module relies on that.
+/// Never goes back, even when the system's clock is set back: the decision module relies on that. Nor does it
+/// stand still then, or no deadline would come: it goes on by the steady clock.
 class Clock {
  public:
   [[nodiscard]] double now() {
-    const double read = set_ ? *set_ : system_now();
-    last_ = std::max(last_, read);
-    return last_;
+    if (set_) return last_ = std::max(last_, *set_);
+    const double steady = read<std::chrono::steady_clock>();
+    const double passed = steady_ == 0 ? 0 : steady - steady_;
+    steady_ = steady;
+    return last_ = std::max(last_ + passed, read<std::chrono::system_clock>());
   }
   /// For tests: from now on the clock stands at `ms` until it is set again.
   void set(double ms) { set_ = ms; }
 
  private:
-  static double system_now() {
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration<double, std::milli>(since).count();
+  template <typename Source>
+  static double read() {
+    return std::chrono::duration<double, std::milli>(Source::now().time_since_epoch()).count();
   }
   std::optional<double> set_;
   double last_ = 0;
+  double steady_ = 0;  ///< at the last reading
 };
 
 inline maddershed::Time module_time(double ms) {
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -305,13 +305,13 @@
   feed(update);
 }
 
-void Router::exchange_lost(ExchangeId exchange) {
+void Router::exchange_lost(ExchangeId exchange, double before) {
   if (standing_at(exchange) == 0) return;
   for (const auto id : attempts_.handles()) {
     auto* attempt = attempts_.find(id);
     if (attempt == nullptr || attempt->exchange != exchange) continue;
     const auto* open = requests_.find(attempt->request);
-    if (!open->standing) continue;
+    if (!open->standing || attempt->sent >= before) continue;
     carrier_->release(id);
     finish_attempt(id, {.result = Result::reset});
   }
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -94,8 +94,8 @@
   void ended(Handle attempt, const Outcome& outcome);
   void report(ExchangeId exchange, const maddershed::LoadReport& report, bool ok = true, double elapsed = 0);
   void directory(const maddershed::DirectoryUpdate& update);
-  /// All calls that stand at the exchange are over and nobody will say so.
-  void exchange_lost(ExchangeId exchange);
+  /// The calls set up there before `before` (Unix ms) are over, and nobody will say so.
+  void exchange_lost(ExchangeId exchange, double before);
 
   [[nodiscard]] bool is_standing(Handle attempt);
   [[nodiscard]] std::size_t open() const { return open_; }
--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -90,7 +90,8 @@
     }
     list.push_back(each);
   }
-  if (number <= offset_ && kind == 2) return true;  // heard already
+  // Heard already: an older list must not bring back what has drained since.
+  if (number < offset_ || (number == offset_ && kind == 2)) return true;
   offset_ = std::max(offset_, number);
   sink_(list, kind == 1);
   return true;
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -2,11 +2,13 @@
 
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 namespace heathturn {
 namespace {
 
 constexpr double words_under_way_ms = 60000;
+constexpr double quiet_test_ms = 50;
 constexpr double closing_wait_ms = 1000;  // told to who comes while the process ends
 
 std::uint64_t number_called(const std::string& key) {
@@ -32,10 +34,19 @@
 
 // ---- Connections ----------------------------------------------------------------------------------------
 
+/// Guards against releases lost on the connection of a test, whose other end looks for nothing else and
+/// closes at once: a connection carries releases once it has brought a call, or has been quiet for a while.
 void Callers::on_connected(Handle connection) {
-  open_.insert(connection);
-  for (const auto& line : unsaid_) net_.write(connection, line);
-  unsaid_.clear();
+  untried_.insert(connection);
+  deadlines_.set(clock_.now() + quiet_test_ms, [this, connection] {
+    if (untried_.contains(connection)) trust(connection);
+  });
+}
+
+void Callers::trust(Handle connection) {
+  untried_.erase(connection);
+  if (!open_.insert(connection).second) return;
+  for (const auto& line : std::exchange(unsaid_, {})) net_.write(connection, line);
 }
 
 void Callers::on_input(Handle connection, evbuffer* in) {
@@ -59,6 +70,7 @@
 
 void Callers::on_ended(Handle connection, const char*) {
   open_.erase(connection);
+  untried_.erase(connection);
   std::vector<Handle> lost;
   for (const auto& [request, taken] : taken_) {
     if (taken.connection == connection && !taken.standing) lost.push_back(request);
@@ -70,12 +82,14 @@
 }
 
 void Callers::on_message(Handle connection, const Message& message) {
+  if (message.op != Op::test) trust(connection);
   switch (message.op) {
     case Op::offer:
       return on_offer(connection, message);
     case Op::end:
       return on_end(connection, message);
     case Op::test: {
+      untried_.erase(connection);
       Message reply;
       reply.op = Op::tested;
       reply.call = message.call;
--- a/src/platform/callers.hpp
+++ b/src/platform/callers.hpp
@@ -63,6 +63,7 @@
   void answer(Handle request, Message message);
   void release(const std::string& call, int why, Handle preferred);
   void forget(Handle request);
+  void trust(Handle connection);
 
   Clock& clock_;
   Deadlines& deadlines_;
@@ -74,7 +75,8 @@
   std::unordered_map<Handle, Taken> taken_;
   std::unordered_map<std::string, Handle> by_name_;
   EndedCalls ended_;
-  std::set<Handle> open_;            ///< connections from callers
+  std::set<Handle> untried_;         ///< connections that have said nothing yet
+  std::set<Handle> open_;            ///< connections from callers: not those of a mere test
   std::vector<std::string> unsaid_;  ///< releases that no connection could carry yet
   bool door_closed_ = false;
 };
--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -12,6 +12,7 @@
 
 constexpr double retry_first_ms = 50;  // between attempts to connect, doubling
 constexpr double retry_most_ms = 1000;
+constexpr std::size_t most_unsaid = 4096;  // releases kept for a converter that cannot be reached
 constexpr double watch_every_ms = 250;
 constexpr double silent_after_ms = 2000;  // nothing heard, while calls stand: a test is sent
 constexpr double test_wait_ms = 1000;     // and not answered by then: the connections are dead
@@ -62,13 +63,18 @@
     auto [it, fresh] = links_.try_emplace(id);
     auto& link = it->second;
     const bool restarted = !fresh && link.converter.entry.started != converter.entry.started;
+    const bool moved = !fresh && link.converter.address != converter.address;
     link.converter = converter;
+    for (std::size_t i = 0; moved && i < held_connections; ++i) {
+      if (link.lines[i].connection != no_handle) net_.close(link.lines[i].connection, reason::withdrawn);
+    }
     if (fresh) {
       link.unreached = clock_.now();
       watch(id);
     }
-    // A process that began anew holds none of the calls that stood before.
-    if (restarted && converter.entry.state == ExchangeState::ready) router_.exchange_lost(id);
+    // A process that began anew holds none of the calls that stood before. News of it comes late: the calls
+    // that it took since then are its own.
+    if (restarted && converter.entry.started) router_.exchange_lost(id, to_ms(*converter.entry.started));
     // The own exchange is sent nothing, and has no group to tell of.
     link.own = converter.entry.number == config_.settings.home;
     if (converter.entry.state != ExchangeState::ready || link.own) continue;
@@ -135,14 +141,13 @@
   link.unreached = 0;
   link.tested_at = 0;
   link.heard = clock_.now();
-  const auto waiting = std::move(link.waiting);
-  link.waiting.clear();
-  for (const auto attempt : waiting) {
-    if (attempts_.contains(attempt)) write_set_up(link, attempt, connection);
+  for (const auto& line : std::exchange(link.unsaid, {})) net_.write(connection, line);
+  for (const auto attempt : std::exchange(link.waiting, {})) {
+    if (attempts_.contains(attempt)) write_set_up(attempt, connection);
   }
 }
 
-void Converters::on_ended(Handle connection, const char* why) {
+void Converters::on_ended(Handle connection, const char*) {
   const auto at = lines_[connection];
   lines_.erase(connection);
   auto& link = links_[at.exchange];
@@ -161,7 +166,6 @@
     forget(attempt);
     router_.ended(attempt, {.result = Result::reset});
   }
-  (void)why;
   const bool other_coming = std::any_of(link.lines.begin(), link.lines.end(),
                                         [](const Line& l) { return l.connection != no_handle; });
   if (!other_coming) fail_waiting(link);
@@ -170,9 +174,7 @@
 
 /// No connection came up for them: nothing ran.
 void Converters::fail_waiting(Link& link) {
-  const auto waiting = std::move(link.waiting);
-  link.waiting.clear();
-  for (const auto attempt : waiting) {
+  for (const auto attempt : std::exchange(link.waiting, {})) {
     if (!attempts_.contains(attempt)) continue;
     forget(attempt);
     router_.ended(attempt, {.result = Result::connect_failed});
@@ -209,7 +211,7 @@
   link.watch = deadlines_.set(now + watch_every_ms, [this, id] { watch(id); });
   if (router_.standing_at(id) == 0) return;
   if (link.unreached != 0) {
-    if (now - link.unreached >= lost_after_ms) router_.exchange_lost(id);
+    if (now - link.unreached >= lost_after_ms) router_.exchange_lost(id, now);
     return;
   }
   if (link.tested_at != 0 && now - link.tested_at >= test_wait_ms) {
@@ -238,7 +240,7 @@
   attempts_[attempt] = {exchange, request.name, no_handle, print_message(message)};
   link.attempts[request.name] = attempt;
   if (const auto connection = open_connection(link); connection != no_handle) {
-    return write_set_up(link, attempt, connection);
+    return write_set_up(attempt, connection);
   }
   link.waiting.push_back(attempt);
   bool coming = false;
@@ -248,14 +250,13 @@
   if (!coming) open(link, 0);
 }
 
-void Converters::write_set_up(Link& link, Handle attempt, Handle connection) {
+void Converters::write_set_up(Handle attempt, Handle connection) {
   auto& out = attempts_[attempt];
   out.connection = connection;
   const auto line = std::move(out.line);
   if (net_.write(connection, line)) return;
   // The write ended the connection, which ends its set-ups; one that it did not know of ends here.
   if (!attempts_.contains(attempt)) return;
-  (void)link;
   forget(attempt);
   router_.ended(attempt, {.result = Result::reset});
 }
@@ -292,7 +293,8 @@
   message.why = why;
   const auto line = print_message(message);
   if (preferred != no_handle && net_.write(preferred, line)) return;
-  if (const auto other = open_connection(link); other != no_handle) net_.write(other, line);
+  if (const auto other = open_connection(link); other != no_handle && net_.write(other, line)) return;
+  if (link.unsaid.size() < most_unsaid) link.unsaid.push_back(line);
 }
 
 void Converters::release_anywhere(const std::string& call, int why) {
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -51,6 +51,7 @@
     std::array<Line, held_connections> lines;
     std::unordered_map<std::string, Handle> attempts;  ///< by call: out or standing
     std::vector<Handle> waiting;                       ///< attempts until a connection is open
+    std::vector<std::string> unsaid;                   ///< releases until a connection is open
     double retry_ms = 0;
     double heard = 0;      ///< when anything came last
     double unreached = 0;  ///< since when no connection is open; 0: one is
@@ -71,7 +72,7 @@
   };
   void open(Link& link, std::size_t line);
   void open_later(Link& link, std::size_t line);
-  void write_set_up(Link& link, Handle attempt, Handle connection);
+  void write_set_up(Handle attempt, Handle connection);
   void fail_waiting(Link& link);
   void on_message(Link& link, Handle connection, const Message& message);
   void on_end(Link& link, Handle connection, const Message& message);
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -9,6 +9,7 @@
 // After SIGTERM new connections keep coming for 0.4 s at most, and requests on open ones for 0.2 s more.
 constexpr double door_open_ms = 700;
 constexpr double last_poll_ms = 20;
+constexpr double arrive_ms = 100;
 
 }  // namespace
 
@@ -63,8 +64,14 @@
       net_.unsent() == 0 && std::all_of(services_.begin(), services_.end(), [](const auto& each) {
         return each->router().open() == 0 && !each->leaving();
       });
+  // Closing with something unread resets the connection, and what was just written may be lost with it: the
+  // last answers get a moment to arrive.
+  if (done) {
+    deadlines_.set(clock_.now() + arrive_ms, [this] { net_.stop(); });
+    return;
+  }
   // A peer that does not read keeps nobody here past the longest deadline.
-  if (done || clock_.now() >= last_call_) return net_.stop();
+  if (clock_.now() >= last_call_) return net_.stop();
   deadlines_.set(clock_.now() + last_poll_ms, [this] { stop_when_done(); });
 }
 
--- a/tests/router/core_test.cpp
+++ b/tests/router/core_test.cpp
@@ -136,11 +136,13 @@
   CHECK(w.router.standing() == 1);
   SECTION("its end") { w.router.ended(w.sent[0], {.result = Result::ended}); }
   SECTION("its converter lost") {
-    w.router.exchange_lost(ExchangeId{2});
-    w.router.exchange_lost(ExchangeId{1});
+    w.router.exchange_lost(ExchangeId{2}, w.now);
+    w.router.exchange_lost(ExchangeId{1}, w.sent_at[0]);  // it began anew before it took this call
+    CHECK(w.router.standing() == 1);
+    w.router.exchange_lost(ExchangeId{1}, w.now);
   }
   w.router.ended(w.sent[0], {.result = Result::reset});
-  w.router.exchange_lost(ExchangeId{1});
+  w.router.exchange_lost(ExchangeId{1}, w.now);
   CHECK((w.said == Said{"served hello", "over"} || w.said == Said{"served hello", "released", "cut"}));
   CHECK(w.router.standing() == 0);
 }
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -238,6 +238,11 @@
   p.lines[0].reset();
   auto next = Platform::held(p.converters[0]);
   next.say(Platform::word(Op::end, call_a, 16));
+  // The connection of a test is not one to tell it on: its other end looks for nothing but the test.
+  auto test = Socket::connect(p.callers);
+  test.say(Platform::word(Op::test, call_b, 0));
+  CHECK(parse_message(test.line()).op == Op::tested);
+  CHECK(test.quiet(200));
   auto other = Socket::connect(p.callers);
   const auto end = other.message();
   CHECK(end.call == call_a);
@@ -256,6 +261,22 @@
   CHECK(now_ms() - from < 8000);
 }
 
+TEST_CASE("a release finds its converter once it can be reached again") {
+  Platform p;
+  auto caller = Socket::connect(p.callers);
+  p.stand(caller, call_a);
+  p.lines[0].reset();
+  caller.say(Platform::word(Op::end, call_a, 16));
+  // Whether it went before the connection was missed or after: what comes next carries it.
+  auto next = Platform::held(p.converters[0]);
+  while (next.quiet(0) && p.converters[0].quiet(5)) {
+  }
+  if (next.quiet(0)) next = Platform::held(p.converters[0]);
+  const auto end = next.message();
+  CHECK(end.op == Op::end);
+  CHECK(end.call == call_a);
+}
+
 TEST_CASE("a restart passes on what ends the calls that stood before it, and only that") {
   Platform p;
   auto caller = Socket::connect(p.callers);
@@ -322,6 +343,7 @@
   auto last = p.bus.accept();
   last.take(8);
   last.write(frame(6, 2, 1, 0, p.converters[0].address()));
+  last.write(frame(5, 2, 1, 2, p.converters[0].address()));  // an old word that comes again
   p.stand(caller, call_a);
 }
 
