--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -56,20 +56,11 @@
 
 void Console::on_input(Handle connection, evbuffer* in) {
   auto& net = program_.net();
-  std::string line;
-  while (net.has(connection)) {
-    switch (next_line(in, most_command, line)) {
-      case Framed::none:
-        return;
-      case Framed::over_long:
-        return net.close(connection, reason::over_long);
-      case Framed::one:
-        break;
-    }
+  net.each_line(connection, in, most_command, [&](const std::string& line) {
     if (line == "quit") return net.finish(connection);
     // A line with a full stop alone ends each answer.
     net.write(connection, answer(line) + ".\n");
-  }
+  });
 }
 
 std::string Console::answer(const std::string& command) {
--- a/src/enum/dns.cpp
+++ b/src/enum/dns.cpp
@@ -7,6 +7,12 @@
 namespace heathturn::dns {
 namespace {
 
+namespace flag {
+constexpr std::uint32_t response = 0x8000, authoritative = 0x0400, truncated = 0x0200;
+constexpr std::uint32_t recursion_desired = 0x0100, recursion_available = 0x0080;
+constexpr std::uint32_t authentic = 0x0020, checking_disabled = 0x0010;
+}  // namespace flag
+
 constexpr std::size_t most_name = 255;
 constexpr std::size_t most_label = 63;
 constexpr std::size_t most_number = 15;  // digits of an E.164 number
@@ -179,10 +185,16 @@
   Header header;
   header.id = static_cast<std::uint16_t>(in.number(2));
   const auto flags = in.number(2);
-  header.response = (flags & 0x8000U) != 0;
+  const auto is = [flags](std::uint32_t which) { return (flags & which) != 0; };
+  header.response = is(flag::response);
   header.opcode = static_cast<std::uint8_t>(flags >> 11 & 15U);
-  header.truncated = (flags & 0x0200U) != 0;
-  header.recursion_desired = (flags & 0x0100U) != 0;
+  header.authoritative = is(flag::authoritative);
+  header.truncated = is(flag::truncated);
+  header.recursion_desired = is(flag::recursion_desired);
+  header.recursion_available = is(flag::recursion_available);
+  header.authentic = is(flag::authentic);
+  header.checking_disabled = is(flag::checking_disabled);
+  header.rcode = static_cast<std::uint16_t>(flags & 15U);
   return header;
 }
 
@@ -196,19 +208,11 @@
 }
 
 std::optional<Message> read_message(const std::string& bytes) {
+  const auto header = read_header(bytes);
+  if (!header) return std::nullopt;
   Reader in(bytes);
-  Message message;
-  message.id = static_cast<std::uint16_t>(in.number(2));
-  const auto flags = in.number(2);
-  message.response = (flags & 0x8000U) != 0;
-  message.opcode = static_cast<std::uint8_t>(flags >> 11 & 15U);
-  message.authoritative = (flags & 0x0400U) != 0;
-  message.truncated = (flags & 0x0200U) != 0;
-  message.recursion_desired = (flags & 0x0100U) != 0;
-  message.recursion_available = (flags & 0x0080U) != 0;
-  message.authentic = (flags & 0x0020U) != 0;
-  message.checking_disabled = (flags & 0x0010U) != 0;
-  message.rcode = static_cast<std::uint16_t>(flags & 15U);
+  in.take(4);
+  Message message{*header, {}, {}, {}, {}};
   const auto questions = in.number(2);
   const auto answers = in.number(2);
   const auto authority = in.number(2);
@@ -235,11 +239,13 @@
 std::string write_message(const Message& message) {
   std::string out;
   put(out, message.id, 2);
+  const auto bit = [](bool set, std::uint32_t which) { return set ? which : 0U; };
   const std::uint32_t flags =
-      (message.response ? 0x8000U : 0U) | (message.opcode & 15U) << 11 |
-      (message.authoritative ? 0x0400U : 0U) | (message.truncated ? 0x0200U : 0U) |
-      (message.recursion_desired ? 0x0100U : 0U) | (message.recursion_available ? 0x0080U : 0U) |
-      (message.authentic ? 0x0020U : 0U) | (message.checking_disabled ? 0x0010U : 0U) | (message.rcode & 15U);
+      bit(message.response, flag::response) | (message.opcode & 15U) << 11 |
+      bit(message.authoritative, flag::authoritative) | bit(message.truncated, flag::truncated) |
+      bit(message.recursion_desired, flag::recursion_desired) |
+      bit(message.recursion_available, flag::recursion_available) | bit(message.authentic, flag::authentic) |
+      bit(message.checking_disabled, flag::checking_disabled) | (message.rcode & 15U);
   put(out, flags, 2);
   put(out, message.question ? 1 : 0, 2);
   put(out, static_cast<std::uint32_t>(message.answers.size()), 2);
--- a/src/enum/dns.hpp
+++ b/src/enum/dns.hpp
@@ -46,28 +46,22 @@
   bool dnssec_ok = false;
 };
 
-struct Message {
+/// What can be told of any message from its first bytes.
+struct Header {
   std::uint16_t id = 0;
   bool response = false;
   std::uint8_t opcode = 0;
   bool authoritative = false, truncated = false, recursion_desired = false, recursion_available = false;
   bool authentic = false, checking_disabled = false;
   std::uint16_t rcode = 0;
+};
+struct Message : Header {
   std::optional<Question> question;
   std::vector<Record> answers, authority;
   std::optional<Edns> edns;
 };
 
-/// What can be told of any message from its first bytes.
-struct Header {
-  std::uint16_t id = 0;
-  bool response = false;
-  std::uint8_t opcode = 0;
-  bool truncated = false;
-  bool recursion_desired = false;
-};
 [[nodiscard]] std::optional<Header> read_header(const std::string& bytes);
-
 /// The question alone, whatever comes after it: a truncated message may be cut anywhere.
 [[nodiscard]] std::optional<Question> read_question(const std::string& bytes);
 /// Nothing when the message is malformed in any part: a loop of compression, a length past the end, more
--- a/src/enum/front.cpp
+++ b/src/enum/front.cpp
@@ -62,20 +62,11 @@
 void EnumFront::on_connected(Handle connection) { expect_query(connection); }
 
 void EnumFront::on_input(Handle connection, evbuffer* in) {
-  std::string message;
-  while (net_.has(connection)) {
-    switch (next_counted(in, 2, most_query, message)) {
-      case Framed::none:
-        return;
-      case Framed::over_long:
-        return net_.close(connection, reason::over_long);
-      case Framed::one:
-        break;
-    }
-    if (message.size() < dns::header_size) return net_.close(connection, reason::malformed);
+  net_.each_counted(connection, in, 2, most_query, [this, connection](const std::string& message) {
+    if (message.size() < dns::header_size) throw Unreadable{reason::malformed};
     expect_query(connection);
     on_query({{}, connection}, message);
-  }
+  });
 }
 
 void EnumFront::expect_query(Handle connection) {
--- a/src/enum/upstreams.cpp
+++ b/src/enum/upstreams.cpp
@@ -146,12 +146,10 @@
 }
 
 void Upstreams::on_input(Handle connection, evbuffer* in) {
-  std::string message;
-  while (net_.has(connection) && next_counted(in, 2, 65535, message) == Framed::one) {
-    if (const auto it = by_connection_.find(connection); it != by_connection_.end()) {
-      take_answer(it->second, message, true);
-    }
-  }
+  net_.each_counted(connection, in, 2, 65535, [this, connection](const std::string& message) {
+    const auto it = by_connection_.find(connection);
+    if (it != by_connection_.end()) take_answer(it->second, message, true);
+  });
 }
 
 void Upstreams::on_ended(Handle connection, const char*) {
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -186,6 +186,32 @@
   if (has(handle)) bufferevent_enable(stream, EV_READ | EV_WRITE);
 }
 
+void Connections::each(Handle connection, const std::function<Framed(std::string&)>& next, const Take& take) {
+  std::string message;
+  // What is taken may end the connection, and the buffer with it.
+  for (auto* at = table_.find(connection); at != nullptr && !at->finishing; at = table_.find(connection)) {
+    const auto framed = next(message);
+    if (framed == Framed::none) return;
+    if (framed == Framed::over_long) return drop(connection, reason::over_long);
+    try {
+      take(message);
+    } catch (const Unreadable& error) {
+      return drop(connection, error.reason);
+    }
+  }
+}
+
+void Connections::each_line(Handle connection, evbuffer* in, std::size_t most, const Take& take) {
+  each(
+      connection, [=](std::string& out) { return next_line(in, most, out); }, take);
+}
+
+void Connections::each_counted(Handle connection, evbuffer* in, std::size_t width, std::size_t most,
+                               const Take& take) {
+  each(
+      connection, [=](std::string& out) { return next_counted(in, width, most, out); }, take);
+}
+
 bool Connections::write(Handle handle, std::string_view bytes) {
   auto* connection = table_.find(handle);
   if (connection == nullptr || connection->finishing) return false;
--- a/src/net/connections.hpp
+++ b/src/net/connections.hpp
@@ -16,6 +16,7 @@
 #include "core/deadlines.hpp"
 #include "core/slots.hpp"
 #include "net/address.hpp"
+#include "net/framing.hpp"
 
 namespace heathturn {
 
@@ -37,6 +38,11 @@
 inline constexpr const char* finished = "finished";
 }  // namespace reason
 
+/// Thrown by who reads a message that cannot be used: its connection ends by this reason.
+struct Unreadable {
+  const char* reason;
+};
+
 /// The owner of connections of one kind.
 class ConnectionUser {
  public:
@@ -64,6 +70,11 @@
   /// Returns where it listens. Throws std::runtime_error when the address cannot be had.
   Address listen(const Address& at, ConnectionUser& user, const char* side, std::size_t most);
   void listen_local(const std::string& path, ConnectionUser& user, const char* side, std::size_t most);
+  using Take = std::function<void(const std::string&)>;
+  /// Gives `take` each whole line that has come, or each message behind a count of `width` bytes. One longer
+  /// than `most` ends the connection, and so does Unreadable.
+  void each_line(Handle connection, evbuffer* in, std::size_t most, const Take& take);
+  void each_counted(Handle connection, evbuffer* in, std::size_t width, std::size_t most, const Take& take);
   /// False when the connection is gone, or ends here because the peer does not read.
   bool write(Handle connection, std::string_view bytes);
   void close(Handle connection, const char* reason);
@@ -99,6 +110,7 @@
     Connections* owner;
     Handle connection;
   };
+  void each(Handle connection, const std::function<Framed(std::string&)>& next, const Take& take);
   Handle adopt(bufferevent* stream, Connection connection);
   void bind(evconnlistener* handle, ConnectionUser& user, const char* side, std::size_t most);
   void accepted(Listener& listener, evutil_socket_t socket, sockaddr* from);
--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -41,21 +41,12 @@
 }
 
 void EventBus::on_input(Handle connection, evbuffer* in) {
-  std::string frame;
-  while (net_.has(connection)) {
-    switch (next_counted(in, 4, most_frame, frame)) {
-      case Framed::none:
-        return;
-      case Framed::over_long:
-        return net_.close(connection, reason::over_long);
-      case Framed::one:
-        break;
-    }
+  net_.each_counted(connection, in, 4, most_frame, [this](const std::string& frame) {
     // A bus that takes connections and then fails at once is not asked in a tight loop.
     retry_ms_ = 0;
     expect_word();
-    if (!take(frame)) return net_.close(connection, reason::malformed);
-  }
+    if (!take(frame)) throw Unreadable{reason::malformed};
+  });
 }
 
 void EventBus::on_ended(Handle, const char*) {
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -50,22 +50,9 @@
 }
 
 void Callers::on_input(Handle connection, evbuffer* in) {
-  std::string line;
-  while (net_.has(connection)) {
-    switch (next_line(in, most_line, line)) {
-      case Framed::none:
-        return;
-      case Framed::over_long:
-        return net_.close(connection, reason::over_long);
-      case Framed::one:
-        break;
-    }
-    try {
-      on_message(connection, parse_message(line));
-    } catch (const Unreadable& error) {
-      return net_.close(connection, error.reason);
-    }
-  }
+  net_.each_line(connection, in, most_line, [this, connection](const std::string& line) {
+    on_message(connection, parse_message(line));
+  });
 }
 
 void Callers::on_ended(Handle connection, const char*) {
--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -186,22 +186,8 @@
   auto& link = links_[id];
   link.heard = clock_.now();
   link.tested_at = 0;
-  std::string line;
-  while (net_.has(connection)) {
-    switch (next_line(in, most_line, line)) {
-      case Framed::none:
-        return;
-      case Framed::over_long:
-        return net_.close(connection, reason::over_long);
-      case Framed::one:
-        break;
-    }
-    try {
-      on_message(link, connection, parse_message(line));
-    } catch (const Unreadable& error) {
-      return net_.close(connection, error.reason);
-    }
-  }
+  net_.each_line(connection, in, most_line,
+                 [&](const std::string& line) { on_message(link, connection, parse_message(line)); });
 }
 
 /// Guards against a machine that vanished: its connections stay open and quiet for ever.
--- a/src/platform/message.hpp
+++ b/src/platform/message.hpp
@@ -37,9 +37,6 @@
 
 inline constexpr std::size_t most_line = std::size_t{16} * 1024;
 
-struct Unreadable {
-  const char* reason;
-};
 /// Throws Unreadable with the reason code for the connection's end.
 [[nodiscard]] Message parse_message(const std::string& line);
 /// With the line feed.
