Each converter connection is watched on its own; set-ups go on the one heard from last

Seen by reading: silence was judged over both connections together, and set-ups always took the first, so one connection that led nowhere would have swallowed every set-up while the other told the group's state. A test plays that case.

--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -127,20 +127,24 @@
 }
 
 Handle Converters::open_connection(const Link& link) {
+  // The one heard from last: it is the least likely to have gone silent. Each tells the group's state first.
+  const Line* best = nullptr;
   for (const auto& line : link.lines) {
-    if (line.open) return line.connection;
+    if (!line.open) continue;
+    if (best == nullptr || std::pair(line.spoken, line.heard) > std::pair(best->spoken, best->heard)) {
+      best = &line;
+    }
   }
-  return no_handle;
+  return best == nullptr ? no_handle : best->connection;
 }
 
 void Converters::on_connected(Handle connection) {
   const auto at = lines_[connection];
   auto& link = links_[at.exchange];
   link.lines[at.line].open = true;
+  link.lines[at.line].heard = clock_.now();
   link.retry_ms = 0;
   link.unreached = 0;
-  link.tested_at = 0;
-  link.heard = clock_.now();
   for (const auto& line : std::exchange(link.unsaid, {})) net_.write(connection, line);
   for (const auto attempt : std::exchange(link.waiting, {})) {
     if (attempts_.contains(attempt)) write_set_up(attempt, connection);
@@ -182,31 +186,35 @@
 }
 
 void Converters::on_input(Handle connection, evbuffer* in) {
-  const auto id = lines_[connection].exchange;
-  auto& link = links_[id];
-  link.heard = clock_.now();
-  link.tested_at = 0;
+  const auto at = lines_[connection];
+  auto& link = links_[at.exchange];
+  auto& told = link.lines[at.line];
+  told.spoken = true;
+  told.heard = clock_.now();
+  told.tested_at = 0;
   net_.each_line(connection, in, most_line,
                  [&](const std::string& line) { on_message(link, connection, parse_message(line)); });
 }
 
-/// Guards against a machine that vanished: its connections stay open and quiet for ever.
+/// Guards against a machine that vanished, or one connection that leads nowhere any more: it stays open and
+/// quiet for ever.
 void Converters::watch(ExchangeId id) {
   auto& link = links_[id];
   const double now = clock_.now();
-  link.watch = deadlines_.set(now + watch_every_ms, [this, id] { watch(id); });
-  if (router_.standing_at(id) == 0) return;
+  deadlines_.set(now + watch_every_ms, [this, id] { watch(id); });
+  if (link.attempts.empty()) return;  // nothing is out and nothing stands
   if (link.unreached != 0) {
     if (now - link.unreached >= lost_after_ms) router_.exchange_lost(id, now);
     return;
   }
-  if (link.tested_at != 0 && now - link.tested_at >= test_wait_ms) {
-    for (const auto& line : std::array(link.lines)) {
-      if (line.connection != no_handle) net_.close(line.connection, reason::silent);
+  for (auto& line : link.lines) {
+    if (!line.open) continue;
+    if (line.tested_at != 0 && now - line.tested_at >= test_wait_ms) {
+      net_.close(line.connection, reason::silent);
+    } else if (line.tested_at == 0 && now - line.heard >= silent_after_ms) {
+      line.tested_at = now;
+      send_test(link, line.connection, 0);
     }
-  } else if (link.tested_at == 0 && now - link.heard >= silent_after_ms) {
-    link.tested_at = now;
-    send_test(link, open_connection(link), 0);
   }
 }
 
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -44,6 +44,9 @@
   struct Line {
     Handle connection = no_handle;
     bool open = false;
+    bool spoken = false;   ///< something has come
+    double heard = 0;      ///< when anything came last
+    double tested_at = 0;  ///< a test is unanswered since; 0: none
     Deadlines::Key retry;
   };
   struct Link {
@@ -53,12 +56,9 @@
     std::vector<Handle> waiting;                       ///< attempts until a connection is open
     std::vector<std::string> unsaid;                   ///< releases until a connection is open
     double retry_ms = 0;
-    double heard = 0;      ///< when anything came last
     double unreached = 0;  ///< since when no connection is open; 0: one is
-    double tested_at = 0;  ///< a test is unanswered since; 0: none
     bool state_told = false;
     bool own = false;
-    Deadlines::Key watch;
   };
   struct Out {
     ExchangeId exchange;
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -249,6 +249,30 @@
   CHECK(end.why == 16);
 }
 
+TEST_CASE("a connection that has gone silent is tested and replaced; the calls on it still stand") {
+  Platform p;
+  auto other = Platform::held(p.converters[0]);
+  auto caller = Socket::connect(p.callers);
+  caller.say(Platform::offer(call_a));
+  while (p.lines[0].quiet(0) && other.quiet(5)) {
+  }
+  auto& carries = p.lines[0].quiet(0) ? other : p.lines[0];
+  auto& idle = p.lines[0].quiet(0) ? p.lines[0] : other;
+  CHECK(carries.message().call == call_a);
+  carries.say(Platform::word(Op::accept, call_a));
+  CHECK(caller.message().op == Op::accept);
+  // Both are tested in time, and only one answers.
+  auto test = parse_message(idle.line());
+  CHECK(test.op == Op::test);
+  test.op = Op::tested;
+  test.why = 1;
+  idle.say(test);
+  CHECK(p.program->log("side=converter").find("reason=silent") != std::string::npos);
+  CHECK(carries.closed());
+  idle.say(Platform::word(Op::end, call_a, 16));
+  CHECK(caller.message().why == 16);
+}
+
 TEST_CASE("a converter that is gone for good leaves no call standing") {
   Platform p;
   auto caller = Socket::connect(p.callers);
