--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -14,6 +14,7 @@
 constexpr double retry_most_ms = 1000;
 constexpr std::size_t most_unsaid = 4096;  // releases kept for a converter that cannot be reached
 constexpr double watch_every_ms = 250;
+constexpr double heard_apart_ms = 500;    // what one connection may tell later than the other
 constexpr double silent_after_ms = 2000;  // nothing heard, while calls stand: a test is sent
 constexpr double test_wait_ms = 1000;     // and not answered by then: the connections are dead
 // Rule: the caller of a call that nobody releases hears of its end within 8 s. Silence is noticed 3 s after
@@ -126,16 +127,20 @@
   });
 }
 
-Handle Converters::open_connection(const Link& link) {
-  // The one heard from last: it is the least likely to have gone silent. Each tells the group's state first.
-  const Line* best = nullptr;
-  for (const auto& line : link.lines) {
-    if (!line.open) continue;
-    if (best == nullptr || std::pair(line.spoken, line.heard) > std::pair(best->spoken, best->heard)) {
-      best = &line;
+/// Stays with one connection as long as it is heard, so that set-ups and the group's state go in one order;
+/// the other takes over when it is heard and the first is not.
+Handle Converters::open_connection(Link& link) {
+  const auto& lines = link.lines;
+  for (std::size_t i = 0; i < held_connections; ++i) {
+    const auto& now = lines[link.preferred];
+    const auto& other = lines[i];
+    if (!other.open) continue;
+    if (!now.open ||
+        std::pair(other.spoken, other.heard - heard_apart_ms) > std::pair(now.spoken, now.heard)) {
+      link.preferred = i;
     }
   }
-  return best == nullptr ? no_handle : best->connection;
+  return lines[link.preferred].open ? lines[link.preferred].connection : no_handle;
 }
 
 void Converters::on_connected(Handle connection) {
@@ -328,6 +333,8 @@
       return;
     case Op::group:
       link.state_told = true;
+      // Each connection brings the same news, and the later one would bring older news after newer.
+      if (connection != open_connection(link)) return;
       return router_.report(id, load_of(message));
     case Op::tested: {
       const auto probe = probes_.find(message.call);
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -52,6 +52,7 @@
   struct Link {
     Converter converter;
     std::array<Line, held_connections> lines;
+    std::size_t preferred = 0;  ///< the line for set-ups, whose word on the group counts
     std::unordered_map<std::string, Handle> attempts;  ///< by call: out or standing
     std::vector<Handle> waiting;                       ///< attempts until a connection is open
     std::vector<std::string> unsaid;                   ///< releases until a connection is open
@@ -80,7 +81,7 @@
   void say_end(Link& link, const std::string& call, Handle preferred, int why);
   void send_test(Link& link, Handle connection, int why);
   void watch(ExchangeId exchange);
-  [[nodiscard]] static Handle open_connection(const Link& link);
+  [[nodiscard]] static Handle open_connection(Link& link);
   [[nodiscard]] maddershed::LoadReport load_of(const Message& message) const;
 
   Clock& clock_;
