--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -273,6 +273,17 @@
   CHECK(caller.message().why == 16);
 }
 
+TEST_CASE("the other connection's older word on the group does not replace the newer one") {
+  Platform p;
+  auto caller = Socket::connect(p.callers);
+  p.stand(caller, call_a);  // by then the state told on the first connection is in force
+  auto other = Platform::held(p.converters[0], 0);
+  other.say(Platform::word(Op::end, call_b, 16));  // behind it on the same connection
+  CHECK(caller.message().call == call_b);
+  caller.say(Platform::offer("00000000000000e5"));
+  CHECK(p.lines[0].message().call == "00000000000000e5");
+}
+
 TEST_CASE("a converter that is gone for good leaves no call standing") {
   Platform p;
   auto caller = Socket::connect(p.callers);
