Calls of a converter that fails its tests or is gone are over; gone ones are forgotten

A trace of all lines showed that a converter replaced by a new one says its last word within 0.2 s of its drain, keeps its connections open for another 5 s and answers each test with cause 0. watch() in converters.cpp took any line, the failed test too, for life, so that its calls were taken for over only 4 s after the connections' reset. Ruled out: releases lost on the callers' side (each of 1661 was confirmed by 'ended'). Now a failed test with nothing else for 1 s ends its calls, and so does the list's 'gone' 1 s later. Two tests; both fail without the change.

--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -253,6 +253,8 @@
   const CallStands event{CallId{handle}, attempt->number, attempt->exchange,
                          to_duration(clock_.now() - attempt->sent)};
   open->front->served(handle, answer);
+  // The call may stand for long, and nobody asks for its description again.
+  if (open = requests_.find(handle); open != nullptr) std::string().swap(open->request.body);
   feed(event);
 }
 
@@ -276,7 +278,7 @@
   event.call_over = open->answered;
   deadlines_.cancel(attempt->deadline);
   if (open->standing) {
-    --standing_at_[attempt->exchange];
+    if (--standing_at_[attempt->exchange] == 0) standing_at_.erase(attempt->exchange);
     const bool normal = outcome.result == Result::ended;
     if (!normal) ++counts_.cut;
     if (open->front != nullptr) open->front->over(handle, normal ? CallEnd::normal : CallEnd::cut);
@@ -302,6 +304,8 @@
     for (auto& [id, entry] : exchanges_) entry.state = ExchangeState::gone;
   }
   for (const auto& entry : update.entries) exchanges_[entry.exchange] = entry;
+  // Guards against growth: ids are new all day long, and what is not listed counts as gone.
+  std::erase_if(exchanges_, [](const auto& each) { return each.second.state == ExchangeState::gone; });
   feed(update);
 }
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -615,6 +615,10 @@
       }
       far.entry = entry;
     }
+    // Machines are replaced by ones with new ids all day: what is gone and owes no answer is forgotten.
+    std::erase_if(far_, [](const auto& each) {
+      return each.second.entry.state == ExchangeState::gone && each.second.unanswered.empty();
+    });
   }
 
   void on(const CallOffered& offer) {
--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -20,6 +20,11 @@
 // Rule: the caller of a call that nobody releases hears of its end within 8 s. Silence is noticed 3 s after
 // it began and its connections are closed; this much later the calls are taken for over.
 constexpr double lost_after_ms = 4000;
+// A machine that has stopped for a drain may leave its connections open for seconds, and fail each test on
+// them: its calls are cut by then.
+constexpr double down_after_ms = 1000;
+constexpr double probe_kept_ms = 10000;  // without an answer
+constexpr double gone_after_ms = 1000;   // the last releases of one that is gone may still be under way
 
 Cause cause_of(const std::string& note) {
   if (note == "all_trunks_busy") return Cause::no_circuit;
@@ -61,6 +66,8 @@
   for (const auto& converter : list) {
     update.entries.push_back(converter.entry);
     const auto id = converter.entry.exchange;
+    // One never known here, and gone already, leaves nothing behind.
+    if (converter.entry.state == ExchangeState::gone && !links_.contains(id)) continue;
     auto [it, fresh] = links_.try_emplace(id);
     auto& link = it->second;
     const bool restarted = !fresh && link.converter.entry.started != converter.entry.started;
@@ -78,11 +85,19 @@
     if (restarted && converter.entry.started) router_.exchange_lost(id, to_ms(*converter.entry.started));
     // The own exchange is sent nothing, and has no group to tell of.
     link.own = converter.entry.number == config_.settings.home;
+    if (!link.own) numbers_.insert(converter.entry.number);
     if (converter.entry.state != ExchangeState::ready || link.own) continue;
     for (std::size_t i = 0; i < held_connections; ++i) {
       if (link.lines[i].connection == no_handle) open(link, i);
     }
   }
+  for (auto& [id, link] : links_) {
+    if (link.converter.entry.state != ExchangeState::gone) {
+      link.gone = 0;
+    } else if (link.gone == 0) {
+      link.gone = clock_.now();
+    }
+  }
   router_.directory(update);
 }
 
@@ -206,8 +221,16 @@
 void Converters::watch(ExchangeId id) {
   auto& link = links_[id];
   const double now = clock_.now();
+  if (link.gone != 0 && now - link.gone >= gone_after_ms) {
+    // Guards against calls that nobody ends: what is gone sends no releases any more.
+    router_.exchange_lost(id, now);
+    // Guards against growth: converters are replaced all day, each by one with a new id.
+    if (link.attempts.empty()) return drop(id);
+  }
+  std::erase_if(probes_, [now](const auto& each) { return now - each.second.second >= probe_kept_ms; });
   deadlines_.set(now + watch_every_ms, [this, id] { watch(id); });
   if (link.attempts.empty()) return;  // nothing is out and nothing stands
+  if (link.down != 0 && now - link.down >= down_after_ms) router_.exchange_lost(id, now);
   if (link.unreached != 0) {
     if (now - link.unreached >= lost_after_ms) router_.exchange_lost(id, now);
     return;
@@ -223,6 +246,16 @@
   }
 }
 
+/// Forgets a converter that is gone for good.
+void Converters::drop(ExchangeId id) {
+  auto& link = links_[id];
+  for (auto& line : link.lines) {
+    if (line.connection != no_handle) net_.close(line.connection, reason::withdrawn);
+    deadlines_.cancel(line.retry);
+  }
+  links_.erase(id);
+}
+
 // ---- Attempts -------------------------------------------------------------------------------------------
 
 void Converters::send(Handle attempt, ExchangeId exchange, const Request& request, double left_ms) {
@@ -327,6 +360,13 @@
 
 void Converters::on_message(Link& link, Handle connection, const Message& message) {
   const auto id = link.converter.entry.exchange;
+  const bool failed_test =
+      message.op == Op::tested && message.why.value_or(1) == 0 && !probes_.contains(message.call);
+  if (!failed_test) {
+    link.down = 0;
+  } else if (link.down == 0) {
+    link.down = clock_.now();
+  }
   switch (message.op) {
     case Op::ringing:
     case Op::ended:
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,6 +29,10 @@
   void release_anywhere(const std::string& call, int why);
   /// Each converter in service has told the state of its group.
   [[nodiscard]] bool all_heard() const;
+  /// Whether some converter but the own one has, or had, this number.
+  [[nodiscard]] bool knows_number(maddershed::ExchangeNumber number) const {
+    return numbers_.contains(number);
+  }
   [[nodiscard]] std::vector<ConverterView> view() const;
 
   void send(Handle attempt, ExchangeId exchange, const Request& request, double left_ms) override;
@@ -58,6 +63,8 @@
     std::vector<std::string> unsaid;                   ///< releases until a connection is open
     double retry_ms = 0;
     double unreached = 0;  ///< since when no connection is open; 0: one is
+    double down = 0;       ///< since when it fails its tests and says nothing else; 0: it does not
+    double gone = 0;       ///< since when the list has it as gone; 0: it does not
     bool state_told = false;
     bool own = false;
   };
@@ -81,6 +88,7 @@
   void say_end(Link& link, const std::string& call, Handle preferred, int why);
   void send_test(Link& link, Handle connection, int why);
   void watch(ExchangeId exchange);
+  void drop(ExchangeId exchange);
   [[nodiscard]] static Handle open_connection(Link& link);
   [[nodiscard]] maddershed::LoadReport load_of(const Message& message) const;
 
@@ -91,6 +99,7 @@
   const Config& config_;
   std::function<void(const std::string&, int)> stray_;
   std::map<ExchangeId, Link> links_;
+  std::set<maddershed::ExchangeNumber> numbers_;
   std::unordered_map<Handle, At> lines_;  ///< by connection
   std::unordered_map<Handle, Out> attempts_;
   std::unordered_map<std::string, std::pair<ExchangeId, double>> probes_;  ///< by id: when sent
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -296,6 +296,21 @@
   CHECK(now_ms() - from < 8000);
 }
 
+TEST_CASE(
+    "a converter that only fails its tests has stopped: its calls are over, its connections open or not") {
+  Platform p;
+  auto caller = Socket::connect(p.callers);
+  p.stand(caller, call_a);
+  const double from = now_ms();
+  auto test = parse_message(p.lines[0].line());
+  REQUIRE(test.op == Op::test);
+  test.op = Op::tested;
+  test.why = 0;
+  p.lines[0].say(test);
+  CHECK(caller.message().why == cause::temporary_failure);
+  CHECK(now_ms() - from < 7000);
+}
+
 TEST_CASE("a release finds its converter once it can be reached again") {
   Platform p;
   auto caller = Socket::connect(p.callers);
@@ -382,6 +397,22 @@
   p.stand(caller, call_a);
 }
 
+TEST_CASE("a converter that the list has as gone keeps no calls and no connections; its successor is new") {
+  Platform p;
+  auto feed = p.bus.accept();
+  auto caller = Socket::connect(p.callers);
+  p.stand(caller, call_a);
+  feed.write(frame(4, 2, 1, 2, p.converters[0].address()));
+  CHECK(caller.message().why == cause::temporary_failure);
+  CHECK(p.lines[0].closed());
+  auto second = p.converters[0].accept();  // the other connection that was held to the old one
+  CHECK(second.closed());
+  feed.write(frame(5, 2, 9, 0, p.converters[0].address()));
+  auto line = Platform::held(p.converters[0]);
+  caller.say(Platform::offer(call_b, 3000, 9));
+  CHECK(line.message().call == call_b);
+}
+
 // ---- The end --------------------------------------------------------------------------------------------
 
 TEST_CASE("SIGTERM: work is taken a little longer, all is answered, and the exit is clean") {
