--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,6 @@
 #include "config/config.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <fstream>
@@ -137,9 +138,14 @@
   return *parsed;
 }
 
-ParsedSettings settings_of(const JsonObject& root) {
+std::string settings_text(const JsonObject& root) {
   std::string lines;
   flatten(root.object("settings").value(), "", lines);
+  return lines;
+}
+
+ParsedSettings settings_of(const JsonObject& root) {
+  const auto lines = settings_text(root);
   try {
     auto parsed = parse_settings(lines);
     // Rule: on sockets the limits of time are longer by this; the module plans its retries by it.
@@ -164,14 +170,22 @@
     throw InputError("seed is not a hexadecimal number");
   }
   if (root.find("limits") != nullptr) {
-    config.sockets = static_cast<std::size_t>(root.object("limits").number("sockets", 16, 1e7, 1024));
+    const auto limits = root.object("limits");
+    config.sockets = static_cast<std::size_t>(limits.number("sockets", 16, 1e7, 1024));
+    config.memory_mb = static_cast<std::size_t>(limits.number("memory_mb", 8, 1e6, 2048));
   }
+  // What peers can make the program hold stays within the memory: half of it for set-ups, whose descriptions
+  // stand there twice while they wait for a connection, and a quarter for what peers leave unread.
+  const auto quarter = config.memory_mb * 1024 * 1024 / 4;
+  config.most_requests = std::clamp<std::size_t>(quarter / most_line, 64, 20000);
+  config.most_unsent = std::clamp<std::size_t>(quarter / config.sockets, 2 * most_line, std::size_t{1} << 20);
   if (root.find("bus") != nullptr) config.bus = address_of(root, "bus");
 
   const auto settings = root.object("settings");
   auto parsed = settings_of(root);
   config.settings = std::move(parsed.settings);
   config.columns = std::move(parsed.columns);
+  config.settings_text = settings_text(root);
   for (std::uint32_t i = 0; i < config.settings.classes.size(); ++i) {
     const auto& each = config.settings.classes[i];
     config.classes[each.name] = i;
@@ -181,6 +195,13 @@
     config.connect_timeout_ms =
         settings.object("limits").number("connect_timeout_us", 1000, 6e7, 500000) / 1000;
   }
+  if (settings.find("tenants") != nullptr) {
+    const auto& tenants = settings.array("tenants");
+    for (rapidjson::SizeType i = 0; i < tenants.Size(); ++i) {
+      const JsonObject each(tenants[i], settings.path("tenants." + std::to_string(i)));
+      config.tenants.insert(each.text("name"));
+    }
+  }
   if (root.find("known") != nullptr) read_known(root.object("known"), texts(settings, "areas"), config);
   return config;
 }
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,9 @@
 
 using maddershed::InputError;
 
+/// Bytes of a message on the platform's connections; memory is shared out by it.
+inline constexpr std::size_t most_line = std::size_t{16} * 1024;
+
 /// A converter as a list names it.
 struct Converter {
   maddershed::DirectoryEntry entry;
@@ -27,18 +31,25 @@
 [[nodiscard]] Address address_of(const JsonObject& from, const char* key);
 /// The module's settings under the key `settings`, with the times of the rules as they are on sockets.
 [[nodiscard]] maddershed::ParsedSettings settings_of(const JsonObject& root);
+/// The same settings as text, one `path=value` a line.
+[[nodiscard]] std::string settings_text(const JsonObject& root);
 
 struct Config {
   std::string name;
   Address listen;
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
+  std::size_t memory_mb = 2048;
+  std::size_t most_requests = 0;  ///< open at once; from the memory
+  std::size_t most_unsent = 0;    ///< bytes that one peer may leave unread; from the memory
   std::optional<Address> bus;
   std::uint64_t known_offset = 0;
   std::vector<Converter> known;
   maddershed::Settings settings;
+  std::string settings_text;         ///< as read, to tell whether a later reading differs
   std::vector<std::string> columns;  ///< figures of a report, as the settings name them
   std::map<std::string, std::uint32_t> classes;
+  std::set<std::string> tenants;  ///< empty: calls need not name one
   double connect_timeout_ms = 500;
   double longest_give_up_ms = 3000;
 };
--- a/src/config/enum_config.cpp
+++ b/src/config/enum_config.cpp
@@ -79,6 +79,7 @@
   if (!suffix || suffix->size() == 1) throw InputError("suffix is not a domain name");
   config.suffix = dns::name_to_text(*suffix);
   config.settings = settings_of(root).settings;
+  config.settings_text = settings_text(root);
   if (!config.settings.pools) throw InputError("settings.specifics.network_form is not \"groups\"");
 
   const auto& numbers = root.array("numbers");
--- a/src/config/enum_config.hpp
+++ b/src/config/enum_config.hpp
@@ -31,6 +31,7 @@
   Address listen;
   std::string suffix;  ///< in lower case, without the last dot
   maddershed::Settings settings;
+  std::string settings_text;  ///< as read, to tell whether a later reading differs
   std::vector<NumberRange> numbers;
   std::vector<Converter> upstreams;
   std::optional<EurekaConfig> eureka;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -53,6 +53,8 @@
 constexpr Duration turned_back_most = 32s;    // twice as long each time in a row: it may have no group [ours]
 constexpr double onward_weight = 0.1;         // smoothing of how often a tandem gets calls through [ours]
 constexpr std::uint32_t tandem_tries = 2;     // for one call whose direct group exists [ours]
+constexpr std::uint32_t errors_most = 1;      // of one call that are met with another try: the second time it
+                                              // is the call that cannot be used [ours]
 constexpr double stuck_after_targets = 3;     // target delays after which a set-up counts as stuck; 1 where
 constexpr double prompt_targets = 0.5;        // set-ups stand within this many on average [ours]
 constexpr double give_up_aims = 1.5;          // aims after which an unanswered set-up is given up [ours]
@@ -293,6 +295,7 @@
   bool held = false;
   std::uint32_t attempts = 0;
   std::uint32_t tandem_attempts = 0;
+  std::uint32_t errors = 0;
   ExchangeId sent_to;
   std::optional<ExchangeId> beyond;  // the destination, when sent to a tandem
   Time sent_at;
@@ -760,6 +763,7 @@
     if (never_ran) return proceed(call);
     call.may_have_run = true;
     if (end.cause == Cause::number_busy) return finish(call, true);
+    if (end.result == Result::error && ++call.errors > errors_most) return finish(call, false);
     const auto& settings = s_.classes[call.offer.traffic_class];
     // Rule: the release is awaited, counted from the batch that told of the end.
     if (end.result != Result::error) call.not_before = now_ + s_.release_wait + s_.step;
--- a/src/enum/enum_service.hpp
+++ b/src/enum/enum_service.hpp
@@ -12,9 +12,11 @@
 
 class EnumService : public Service {
  public:
-  EnumService(Program& program, EnumConfig config, std::uint64_t seed);
+  /// `path`: where the file was read, for reload().
+  EnumService(Program& program, EnumConfig config, std::string path, std::uint64_t seed);
   [[nodiscard]] const char* kind() const override { return "enum"; }
   void start() override;
+  void reload() override;
   void close_door() override { front_.close_door(); }
   [[nodiscard]] Router& router() override { return router_; }
   [[nodiscard]] std::vector<ConverterView> converters() const override { return upstreams_.view(); }
@@ -25,7 +27,12 @@
   [[nodiscard]] bool leaving() const override { return eureka_ && eureka_->deregistering(); }
 
  private:
+  void update(std::vector<Converter> list);
+
+  Program& program_;
   EnumConfig config_;
+  std::string path_;
+  std::vector<Converter> registered_;  ///< the registry's list
   Router router_;
   Upstreams upstreams_;
   EnumFront front_;
--- a/src/enum/front.cpp
+++ b/src/enum/front.cpp
@@ -11,6 +11,7 @@
 
 constexpr int most_port_tries = 16;
 constexpr std::size_t most_connections = 128;
+constexpr std::size_t most_requests = 256;    // look-ups open on one connection
 constexpr std::size_t most_open = 10000;      // look-ups: beyond, the cheap answer is a refusal
 constexpr std::size_t most_query = 4096;      // bytes of a query over TCP
 constexpr double idle_connection_ms = 10000;  // without a query and without an open one
@@ -44,7 +45,8 @@
   for (int tries = 1;; ++tries) {
     socket_ = datagrams_.bind(config_.listen, *this);
     try {
-      return net_.listen(datagrams_.address(socket_), *this, "resolver", most_connections);
+      return net_.listen(datagrams_.address(socket_), *this, "resolver",
+                         {.connections = most_connections, .requests = most_requests});
     } catch (const std::runtime_error&) {
       // Where the file leaves the port to the system, the one it gave for UDP may be taken for TCP.
       if (config_.listen.port != 0 || tries == most_port_tries) throw;
@@ -139,6 +141,9 @@
   asked.edns->udp_size = dns::own_udp_size;
   asked.edns->dnssec_ok = query.edns && query.edns->dnssec_ok;
   request.body = dns::write_message(asked);
+  if (client.connection != no_handle && !net_.begin_request(client.connection)) {
+    return reply(client, query, dns::rcode::refused);
+  }
   router_.offer(*this, std::move(request), [&](Handle handle) {
     open_[key] = handle;
     asked_[handle] = {client, std::move(query), key};
@@ -153,6 +158,7 @@
   auto asked = std::move(it->second);
   asked_.erase(it);
   open_.erase(asked.key);
+  if (asked.client.connection != no_handle) net_.end_request(asked.client.connection);
   return asked;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 // heathturn: a call router on real sockets round the decision module.
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <random>
@@ -41,6 +42,7 @@
 }
 
 int serve(const Files& files) {
+  std::signal(SIGHUP, SIG_IGN);  // until the loop takes it: a file read just now needs no second reading
   std::optional<Config> config;
   if (!files.config.empty()) config = parse_config(read_file(files.config));
   std::optional<EnumConfig> enum_config;
@@ -48,9 +50,10 @@
   auto console_path = files.console;
   if (console_path.empty() && enum_config) console_path = enum_config->console;
   Program program(config ? config->name : "heathturn");
-  if (config) program.add(std::make_unique<PlatformService>(program, std::move(*config)));
+  if (config) program.add(std::make_unique<PlatformService>(program, std::move(*config), files.config));
   if (enum_config) {
-    program.add(std::make_unique<EnumService>(program, std::move(*enum_config), fresh_seed()));
+    program.add(
+        std::make_unique<EnumService>(program, std::move(*enum_config), files.enum_file, fresh_seed()));
   }
   std::optional<Console> console;
   if (!console_path.empty()) console.emplace(program, console_path, version);
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -14,8 +14,7 @@
 namespace heathturn {
 namespace {
 
-constexpr std::size_t most_unsent = std::size_t{1} << 20;  // bytes that one peer may leave unread
-constexpr double accept_pause_ms = 50;                     // after the descriptors ran out
+constexpr double accept_pause_ms = 50;  // after the descriptors ran out
 
 event_base* make_base() {
   event_config* config = event_config_new();
@@ -103,7 +102,7 @@
   return handle;
 }
 
-Address Connections::listen(const Address& at, ConnectionUser& user, const char* side, std::size_t most) {
+Address Connections::listen(const Address& at, ConnectionUser& user, const char* side, const Bounds& bounds) {
   const auto address = at.to_sockaddr();
   evconnlistener* handle = evconnlistener_new_bind(
       base_.get(), nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 512,
@@ -111,10 +110,11 @@
   if (handle == nullptr) {
     throw std::runtime_error("cannot listen on " + at.text() + ": " + std::strerror(errno));
   }
-  bind(handle, user, side, most);
+  bind(handle, user, side, bounds);
   sockaddr_in bound{};
   socklen_t length = sizeof bound;
   getsockname(evconnlistener_get_fd(handle), reinterpret_cast<sockaddr*>(&bound), &length);
+  listeners_.back()->at = Address::from(bound);
   log_(std::string("listening side=") + side + " at=" + Address::from(bound).text());
   return Address::from(bound);
 }
@@ -141,12 +141,12 @@
   const int error = errno;
   ::umask(before);
   if (handle == nullptr) throw std::runtime_error("cannot listen on " + path + ": " + std::strerror(error));
-  bind(handle, user, side, most);
+  bind(handle, user, side, {.connections = most});
 }
 
-void Connections::bind(evconnlistener* handle, ConnectionUser& user, const char* side, std::size_t most) {
+void Connections::bind(evconnlistener* handle, ConnectionUser& user, const char* side, const Bounds& bounds) {
   auto& listener = *listeners_.emplace_back(std::make_unique<Listener>());
-  listener = {this, &user, side, most, 0, handle, {}};
+  listener = {this, &user, side, bounds, 0, handle, {}, {}};
   evconnlistener_set_cb(
       handle,
       [](evconnlistener*, evutil_socket_t socket, sockaddr* from, int, void* context) {
@@ -179,13 +179,62 @@
   }
   bufferevent* stream =
       bufferevent_socket_new(base_.get(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  const bool room = listener.open < listener.bounds.connections || make_room(listener);
   ++listener.open;
   const auto handle = adopt(stream, std::move(connection));
-  if (listener.open > listener.most) return drop(handle, reason::too_many);
+  if (!room) return drop(handle, reason::too_many);
+  // Guards against peers that connect and say nothing, or never end what they say first.
+  if (const double wait = listener.bounds.first_message_ms; wait > 0) {
+    table_.find(handle)->timeout =
+        deadlines_.set(clock_.now() + wait, [this, handle] { drop(handle, reason::silent); });
+  }
   listener.user->on_connected(handle);
   if (has(handle)) bufferevent_enable(stream, EV_READ | EV_WRITE);
 }
 
+/// Guards the usual callers against those that connect and stay: where the places are taken, the connection
+/// that has said nothing for longest makes room, those that never said anything first. One with a request
+/// open stays, and so does one whose first message lies unread.
+bool Connections::make_room(Listener& listener) {
+  Handle idlest = no_handle;
+  std::pair<bool, double> least;
+  for (const auto handle : table_.handles()) {
+    const auto& each = *table_.find(handle);
+    if (each.listener != &listener || each.requests > 0 || each.finishing) continue;
+    char byte = 0;
+    if (!each.spoken && ::recv(bufferevent_getfd(each.stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
+      continue;
+    const std::pair order{each.spoken, each.spoken ? each.heard : each.since};
+    if (idlest != no_handle && order >= least) continue;
+    idlest = handle;
+    least = order;
+  }
+  if (idlest == no_handle) return false;
+  drop(idlest, reason::idle);
+  return true;
+}
+
+void Connections::set_bounds(const Address& at, const Bounds& bounds) {
+  for (auto& listener : listeners_) {
+    if (listener->at == at) listener->bounds = bounds;
+  }
+}
+
+bool Connections::begin_request(Handle handle) {
+  auto* connection = table_.find(handle);
+  if (connection == nullptr) return true;
+  const auto most = connection->listener == nullptr ? 0 : connection->listener->bounds.requests;
+  if (most != 0 && connection->requests >= most) return false;
+  ++connection->requests;
+  return true;
+}
+
+void Connections::end_request(Handle handle) {
+  if (auto* connection = table_.find(handle); connection != nullptr && connection->requests > 0) {
+    --connection->requests;
+  }
+}
+
 void Connections::each(Handle connection, const std::function<Framed(std::string&)>& next, const Take& take) {
   std::string message;
   // What is taken may end the connection, and the buffer with it.
@@ -193,6 +242,9 @@
     const auto framed = next(message);
     if (framed == Framed::none) return;
     if (framed == Framed::over_long) return drop(connection, reason::over_long);
+    if (!at->spoken) deadlines_.cancel(at->timeout);
+    at->spoken = true;
+    at->heard = clock_.now();
     try {
       take(message);
     } catch (const Unreadable& error) {
@@ -217,7 +269,7 @@
   if (connection == nullptr || connection->finishing) return false;
   evbuffer* out = bufferevent_get_output(connection->stream);
   // Guards against a peer that does not read: what it leaves here must not grow without end.
-  if (evbuffer_get_length(out) + bytes.size() > most_unsent) {
+  if (evbuffer_get_length(out) + bytes.size() > most_unsent_) {
     drop(handle, reason::slow_reader);
     return false;
   }
--- a/src/net/connections.hpp
+++ b/src/net/connections.hpp
@@ -67,9 +67,23 @@
 
   /// `side` names the kind of peer in the log.
   Handle connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms);
+  /// What the peers of a listener may hold here.
+  struct Bounds {
+    std::size_t connections = 0;  ///< beyond, the idlest one makes room
+    std::size_t requests = 0;     ///< open at once on one connection; 0: no bound
+    double first_message_ms = 0;  ///< a connection without a whole message ends after this; 0: never
+  };
   /// Returns where it listens. Throws std::runtime_error when the address cannot be had.
-  Address listen(const Address& at, ConnectionUser& user, const char* side, std::size_t most);
+  Address listen(const Address& at, ConnectionUser& user, const char* side, const Bounds& bounds);
   void listen_local(const std::string& path, ConnectionUser& user, const char* side, std::size_t most);
+  /// Other bounds for who connects from now on to the listener at this address.
+  void set_bounds(const Address& at, const Bounds& bounds);
+  /// Bytes that one peer may leave unread.
+  void set_most_unsent(std::size_t bytes) { most_unsent_ = bytes; }
+  /// A request is open on the connection, which is not ended for its idleness until end_request(). False when
+  /// it has as many already as it may have.
+  bool begin_request(Handle connection);
+  void end_request(Handle connection);
   using Take = std::function<void(const std::string&)>;
   /// Gives `take` each whole line that has come, or each message behind a count of `width` bytes. One longer
   /// than `most` ends the connection, and so does Unreadable.
@@ -89,9 +103,10 @@
     Connections* owner = nullptr;
     ConnectionUser* user = nullptr;
     const char* side = "";
-    std::size_t most = 0;
+    Bounds bounds;
     std::size_t open = 0;
     evconnlistener* handle = nullptr;
+    Address at;
     Deadlines::Key reopen;
   };
   struct Connection {
@@ -100,6 +115,9 @@
     const char* side = "";
     std::string peer;
     double since = 0;
+    double heard = 0;          ///< its last whole message
+    std::size_t requests = 0;  ///< open ones
+    bool spoken = false;       ///< a whole message has come
     bool connected = false;
     bool finishing = false;
     Listener* listener = nullptr;
@@ -112,7 +130,8 @@
   };
   void each(Handle connection, const std::function<Framed(std::string&)>& next, const Take& take);
   Handle adopt(bufferevent* stream, Connection connection);
-  void bind(evconnlistener* handle, ConnectionUser& user, const char* side, std::size_t most);
+  void bind(evconnlistener* handle, ConnectionUser& user, const char* side, const Bounds& bounds);
+  bool make_room(Listener& listener);
   void accepted(Listener& listener, evutil_socket_t socket, sockaddr* from);
   void drop(Handle connection, const char* reason);
   void on_event(Handle connection, short what);
@@ -127,6 +146,7 @@
   SlotTable<Connection> table_;
   std::map<Handle, std::unique_ptr<Hook>> hooks_;
   std::vector<std::unique_ptr<Listener>> listeners_;
+  std::size_t most_unsent_ = std::size_t{1} << 20;
   bool stopping_ = false;
 };
 
--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -25,6 +25,14 @@
 
 void EventBus::start() { connection_ = net_.connect(at_, *this, "bus", connect_timeout_ms); }
 
+void EventBus::move(const Address& to) {
+  if (to == at_) return;
+  at_ = to;
+  retry_ms_ = 0;
+  // What the old one has not told the new one will; without a connection the next try goes there.
+  if (connection_ != no_handle) net_.close(connection_, reason::withdrawn);
+}
+
 void EventBus::expect_word() {
   deadlines_.cancel(silence_);
   silence_ = deadlines_.set(clock_.now() + silent_after_ms, [this] {
--- a/src/platform/bus.hpp
+++ b/src/platform/bus.hpp
@@ -16,6 +16,8 @@
   EventBus(Clock& clock, Deadlines& deadlines, Connections& net, const Address& at, std::uint64_t offset,
            Sink sink);
   void start();
+  /// From now on the bus is there; its numbers go on.
+  void move(const Address& to);
 
   void on_connected(Handle connection) override;
   void on_input(Handle connection, evbuffer* in) override;
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -1,7 +1,9 @@
 #include "platform/callers.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace heathturn {
@@ -9,12 +11,23 @@
 
 constexpr double words_under_way_ms = 60000;
 constexpr double quiet_test_ms = 50;
-constexpr double closing_wait_ms = 1000;  // told to who comes while the process ends
+constexpr double turned_away_wait_ms = 1000;  // told to who comes while the process ends, or asks too much
+constexpr double first_message_ms = 2000;     // a caller that says nothing is let go of within 3 s
+constexpr std::size_t most_requests = 256;    // open on one connection
+constexpr std::uint32_t most_junk = 16;       // set-ups of a connection that could not be used
+constexpr std::size_t most_unsaid = 4096;
+constexpr double confirm_wait_ms = 250;  // a caller must hear of the end of its call within 1 s
+constexpr int most_releases = 3;         // of one call, each on another connection
+constexpr double left_slack_ms = 1000;
+constexpr double most_circuits = 64;
 
-std::uint64_t number_called(const std::string& key) {
+/// Nothing when it is not a number of 1 to 16 hexadecimal digits.
+std::optional<std::uint64_t> number_called(const std::string& key) {
   std::uint64_t value = 0;
   const char* end = key.data() + key.size();
-  return std::from_chars(key.data(), end, value, 16).ptr == end ? value : 0;
+  const auto [stop, error] = std::from_chars(key.data(), end, value, 16);
+  if (error != std::errc{} || stop != end) return std::nullopt;
+  return value;
 }
 
 }  // namespace
@@ -30,23 +43,33 @@
 Callers::Callers(Clock& clock, Deadlines& deadlines, Connections& net, Router& router, const Config& config)
     : clock_(clock), deadlines_(deadlines), net_(net), router_(router), config_(config) {}
 
-void Callers::listen() { net_.listen(config_.listen, *this, "caller", config_.sockets / 2); }
+void Callers::listen() { listener_ = net_.listen(config_.listen, *this, "caller", bounds()); }
+
+Connections::Bounds Callers::bounds() const {
+  return {
+      .connections = config_.sockets / 2, .requests = most_requests, .first_message_ms = first_message_ms};
+}
 
 // ---- Connections ----------------------------------------------------------------------------------------
 
 /// Guards against releases lost on the connection of a test, whose other end looks for nothing else and
 /// closes at once: a connection carries releases once it has brought a call, or has been quiet for a while.
 void Callers::on_connected(Handle connection) {
-  untried_.insert(connection);
+  lines_[connection] = {};
   deadlines_.set(clock_.now() + quiet_test_ms, [this, connection] {
-    if (untried_.contains(connection)) trust(connection);
+    const auto it = lines_.find(connection);
+    if (it != lines_.end() && it->second.turn == 0) know(connection, Line::Known::quiet);
   });
 }
 
-void Callers::trust(Handle connection) {
-  untried_.erase(connection);
-  if (!open_.insert(connection).second) return;
-  for (const auto& line : std::exchange(unsaid_, {})) net_.write(connection, line);
+void Callers::know(Handle connection, Line::Known known) {
+  const auto it = lines_.find(connection);
+  if (it == lines_.end()) return;
+  const bool first = it->second.known == Line::Known::nothing;
+  it->second.known = std::max(it->second.known, known);
+  if (!first) return;
+  for (auto& [call, line] : std::exchange(unsaid_, {}))
+    send_release(call, std::move(line), connection, no_handle, 0);
 }
 
 void Callers::on_input(Handle connection, evbuffer* in) {
@@ -56,8 +79,7 @@
 }
 
 void Callers::on_ended(Handle connection, const char*) {
-  open_.erase(connection);
-  untried_.erase(connection);
+  lines_.erase(connection);
   std::vector<Handle> lost;
   for (const auto& [request, taken] : taken_) {
     if (taken.connection == connection && !taken.standing) lost.push_back(request);
@@ -66,17 +88,26 @@
     forget(request);
     router_.caller_left(request);
   }
+  // Releases that were still under way on it go on another.
+  std::vector<std::string> unheard;
+  for (const auto& [call, each] : unheard_) {
+    if (each.connection == connection) unheard.push_back(call);
+  }
+  for (const auto& call : unheard) {
+    auto each = unheard_[call];
+    heard(call);
+    send_release(call, std::move(each.line), no_handle, no_handle, each.sent);
+  }
 }
 
 void Callers::on_message(Handle connection, const Message& message) {
-  if (message.op != Op::test) trust(connection);
+  lines_[connection].turn = ++turn_;
   switch (message.op) {
     case Op::offer:
       return on_offer(connection, message);
     case Op::end:
       return on_end(connection, message);
     case Op::test: {
-      untried_.erase(connection);
       Message reply;
       reply.op = Op::tested;
       reply.call = message.call;
@@ -84,8 +115,10 @@
       net_.write(connection, print_message(reply));
       return;
     }
-    case Op::ringing:
     case Op::ended:
+      confirmed_ = true;
+      return heard(message.call);
+    case Op::ringing:
       return;
     case Op::accept:
     case Op::tested:
@@ -96,48 +129,83 @@
 }
 
 void Callers::on_offer(Handle connection, const Message& message) {
-  const auto* class_name = message.field("class");
-  if (class_name == nullptr || !message.text) throw Unreadable{reason::malformed};
   if (const auto it = by_name_.find(message.call); it != by_name_.end()) {
-    // The same set-up on a new connection: the first one is still in work.
-    taken_[it->second].connection = connection;
-    return;
+    // Guards against a call's answer being drawn to who merely names it: each set-up has a new id, and what
+    // stands under this one is not touched.
+    if (taken_[it->second].connection == connection) throw Unreadable{reason::malformed};
+    return refuse_junk(connection, message.call);
   }
-  const auto known = config_.classes.find(*class_name);
-  if (known == config_.classes.end() || door_closed_) {
-    Message reply;
-    reply.call = message.call;
-    reply.why = door_closed_ ? cause::congestion : cause::error;
-    if (door_closed_) reply.fields.emplace_back("wait", std::to_string(std::lround(closing_wait_ms)));
+  auto request = read_offer(message);
+  if (!request) return refuse_junk(connection, message.call);
+  if (!knows_number_(request->destination)) return refuse(connection, message.call, cause::error, 0);
+  know(connection, Line::Known::asked);
+  if (door_closed_ || taken_.size() - standing_ >= config_.most_requests || !net_.begin_request(connection)) {
     ended_.add(message.call, clock_.now());
-    net_.write(connection, print_message(reply));
-    return;
+    return refuse(connection, message.call, cause::congestion, turned_away_wait_ms);
+  }
+  router_.offer(*this, std::move(*request), [&](Handle handle) {
+    taken_[handle] = {message.call, connection, false};
+    by_name_[message.call] = handle;
+  });
+}
+
+/// Nothing when a converter could not use the set-up, or the module not place it: a class or tenant that the
+/// settings do not name, a figure out of range or no number, a number of no converter.
+std::optional<Request> Callers::read_offer(const Message& message) const {
+  const auto* class_name = message.field("class");
+  const auto* extras = message.field("extras");
+  if (class_name == nullptr || extras == nullptr || !message.text) return std::nullopt;
+  const auto known = config_.classes.find(*class_name);
+  if (known == config_.classes.end()) return std::nullopt;
+  if (const auto* tenant = message.field("tenant");
+      tenant != nullptr && !config_.tenants.empty() && !config_.tenants.contains(*tenant)) {
+    return std::nullopt;
   }
   Request request;
   request.traffic_class = known->second;
   request.circuits = config_.settings.classes[known->second].circuits;
-  request.left_ms = message.number("left", config_.longest_give_up_ms);
+  request.left_ms = message.number("left", -1);
+  if (request.left_ms < 0 || request.left_ms > config_.longest_give_up_ms + left_slack_ms)
+    return std::nullopt;
   request.redialled = message.number("retry", 0) != 0;
   request.name = message.call;
   request.class_name = *class_name;
   request.body = *message.text;
   if (const auto* key = message.field("key")) {
     request.key = *key;
-    request.number_called = number_called(*key);
+    const auto number = number_called(*key);
+    if (!number) return std::nullopt;
+    request.number_called = *number;
   }
-  if (const auto* extras = message.field("extras")) {
-    for (const auto& [name, value] : parse_figures(*extras)) {
-      if (name == "dest") request.destination = maddershed::exchange_number(static_cast<float>(value));
-      if (name == "via") request.advised = maddershed::exchange_number(static_cast<float>(value));
-      if (name == "width") request.circuits = value;
-      if (name == "transit") request.in_transit = value != 0;
-      if (name == "again") request.cut_before = value != 0;
-    }
+  const auto figures = parse_figures(*extras);
+  if (!figures.whole) return std::nullopt;
+  for (const auto& [name, value] : figures.values) {
+    if (name == "dest" && value != std::floor(value)) return std::nullopt;
+    if (name == "dest") request.destination = maddershed::exchange_number(static_cast<float>(value));
+    if (name == "via") request.advised = maddershed::exchange_number(static_cast<float>(value));
+    if (name == "width") request.circuits = value;
+    if (name == "transit") request.in_transit = value != 0;
+    if (name == "again") request.cut_before = value != 0;
   }
-  router_.offer(*this, std::move(request), [&](Handle handle) {
-    taken_[handle] = {message.call, connection, false};
-    by_name_[message.call] = handle;
-  });
+  if (!(request.circuits > 0 && request.circuits <= most_circuits)) return std::nullopt;
+  if (request.destination == maddershed::no_exchange) return std::nullopt;
+  return request;
+}
+
+/// A set-up that never became a request.
+void Callers::refuse(Handle connection, const std::string& call, int why, double wait_ms) {
+  Message reply;
+  reply.call = call;
+  reply.why = why;
+  if (wait_ms > 0) reply.fields.emplace_back("wait", std::to_string(std::lround(wait_ms)));
+  net_.write(connection, print_message(reply));
+}
+
+/// Who sends nothing but what cannot be used is told so, and soon not listened to any more.
+void Callers::refuse_junk(Handle connection, const std::string& call) {
+  refuse(connection, call, cause::error, 0);
+  const auto it = lines_.find(connection);
+  if (it != lines_.end() && ++it->second.junk >= most_junk) throw Unreadable{reason::malformed};
 }
 
 void Callers::on_end(Handle connection, const Message& message) {
@@ -147,9 +215,12 @@
   net_.write(connection, print_message(reply));
   if (const auto it = by_name_.find(message.call); it != by_name_.end()) {
     const auto request = it->second;
-    const bool standing = taken_[request].standing;
+    const auto taken = taken_[request];
+    // A call that stands is released on any connection; a set-up is given up on its own.
+    if (!taken.standing && taken.connection != connection) return;
+    know(connection, Line::Known::asked);
     forget(request);
-    if (standing) {
+    if (taken.standing) {
       router_.caller_released(request);
     } else {
       router_.caller_left(request);
@@ -157,49 +228,47 @@
   } else if (!ended_.has(message.call)) {
     // The call may have stood before this process began: whoever holds it cuts it on this word.
     ended_.add(message.call, clock_.now());
-    stray_(message.call, message.why.value_or(cause::normal));
+    stray_(message.call);
   }
 }
 
 // ---- Answers --------------------------------------------------------------------------------------------
 
-void Callers::answer(Handle request, Message message) {
-  const auto& taken = taken_[request];
-  message.call = taken.name;
-  net_.write(taken.connection, print_message(message));
-}
-
 void Callers::forget(Handle request) {
   const auto it = taken_.find(request);
   if (it == taken_.end()) return;
+  if (it->second.standing) {
+    --standing_;
+  } else {
+    net_.end_request(it->second.connection);
+  }
   ended_.add(it->second.name, clock_.now());
   by_name_.erase(it->second.name);
   taken_.erase(it);
 }
 
 void Callers::served(Handle request, const std::string& text) {
-  if (!taken_.contains(request)) return;
-  taken_[request].standing = true;
+  const auto it = taken_.find(request);
+  if (it == taken_.end()) return;
+  it->second.standing = true;
+  ++standing_;
+  net_.end_request(it->second.connection);
+  know(it->second.connection, Line::Known::served);
   Message message;
   message.op = Op::accept;
+  message.call = it->second.name;
   message.text = text;
-  answer(request, message);
+  net_.write(it->second.connection, print_message(message));
 }
 
-void Callers::refused(Handle request, double wait_ms) {
-  if (!taken_.contains(request)) return;
-  Message message;
-  message.why = cause::congestion;
-  if (wait_ms > 0) message.fields.emplace_back("wait", std::to_string(std::lround(wait_ms)));
-  answer(request, message);
-  forget(request);
-}
+void Callers::refused(Handle request, double wait_ms) { turn_down(request, cause::congestion, wait_ms); }
+void Callers::failed(Handle request) { turn_down(request, cause::temporary_failure, 0); }
 
-void Callers::failed(Handle request) {
-  if (!taken_.contains(request)) return;
-  Message message;
-  message.why = cause::temporary_failure;
-  answer(request, message);
+void Callers::turn_down(Handle request, int why, double wait_ms) {
+  const auto it = taken_.find(request);
+  if (it == taken_.end()) return;
+  const auto taken = it->second;
+  refuse(taken.connection, taken.name, why, wait_ms);
   forget(request);
 }
 
@@ -216,12 +285,52 @@
   Message message;
   message.call = call;
   message.why = why;
-  const auto line = print_message(message);
-  if (open_.contains(preferred) && net_.write(preferred, line)) return;
-  while (!open_.empty()) {
-    if (net_.write(*open_.begin(), line)) return;
+  send_release(call, print_message(message), preferred, no_handle, 0);
+}
+
+/// Guards against a release that nobody takes in: best is the connection that brought the call, then one
+/// whose calls were served, then one that asked, the one heard from last each time; and where callers
+/// confirm, what is not confirmed goes once more, on another connection if there is one.
+void Callers::send_release(const std::string& call, std::string line, Handle preferred, Handle avoided,
+                           int sent) {
+  while (true) {
+    auto best = lines_.find(preferred);
+    if (best == lines_.end() || best->second.known == Line::Known::nothing) {
+      best = lines_.end();
+      const auto rank = [avoided](const auto& each) {
+        return std::tuple(each.first != avoided, each.second.known, each.second.turn);
+      };
+      for (auto it = lines_.begin(); it != lines_.end(); ++it) {
+        if (it->second.known == Line::Known::nothing) continue;
+        if (best == lines_.end() || rank(*it) > rank(*best)) best = it;
+      }
+    }
+    if (best == lines_.end()) break;
+    const auto connection = best->first;
+    if (!net_.write(connection, line)) {
+      lines_.erase(connection);
+      continue;
+    }
+    if (sent + 1 >= most_releases) return;
+    auto& unheard = unheard_[call];
+    deadlines_.cancel(unheard.again);
+    unheard = {connection, std::move(line), sent + 1, {}};
+    unheard.again = deadlines_.set(clock_.now() + confirm_wait_ms, [this, call] {
+      auto each = unheard_[call];
+      unheard_.erase(call);
+      if (confirmed_) send_release(call, std::move(each.line), no_handle, each.connection, each.sent);
+    });
+    return;
   }
-  unsaid_.push_back(line);
+  if (unsaid_.size() >= most_unsaid) unsaid_.pop_front();
+  unsaid_.emplace_back(call, std::move(line));
+}
+
+void Callers::heard(const std::string& call) {
+  const auto it = unheard_.find(call);
+  if (it == unheard_.end()) return;
+  deadlines_.cancel(it->second.again);
+  unheard_.erase(it);
 }
 
 void Callers::stray_over(const std::string& call, int why) {
--- a/src/platform/callers.hpp
+++ b/src/platform/callers.hpp
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -31,9 +32,15 @@
  public:
   Callers(Clock& clock, Deadlines& deadlines, Connections& net, Router& router, const Config& config);
   void listen();
+  /// The bounds of the configuration as it is now.
+  void set_bounds() { net_.set_bounds(listener_, bounds()); }
   void set_ready(std::function<bool()> ready) { ready_ = std::move(ready); }
   /// Told of a release for a call that this process never had.
-  void set_stray_release(std::function<void(const std::string&, int)> stray) { stray_ = std::move(stray); }
+  void set_stray_release(std::function<void(const std::string&)> stray) { stray_ = std::move(stray); }
+  /// Whether any converter has this number.
+  void set_knows_number(std::function<bool(maddershed::ExchangeNumber)> knows) {
+    knows_number_ = std::move(knows);
+  }
   /// New set-ups are refused from here on.
   void close_door() { door_closed_ = true; }
   /// A converter's word on a call that stood before this process began.
@@ -57,13 +64,32 @@
     Handle connection = no_handle;
     bool standing = false;
   };
+  /// What is known of a connection: a release goes to the one known best.
+  struct Line {
+    enum class Known { nothing, quiet, asked, served } known = Known::nothing;
+    std::uint64_t turn = 0;  ///< when it said something last, in the order of all
+    std::uint32_t junk = 0;  ///< set-ups that could not be used
+  };
+  /// A release that its caller has not confirmed yet.
+  struct Unheard {
+    Handle connection = no_handle;
+    std::string line;
+    int sent = 0;
+    Deadlines::Key again;
+  };
   void on_message(Handle connection, const Message& message);
   void on_offer(Handle connection, const Message& message);
   void on_end(Handle connection, const Message& message);
-  void answer(Handle request, Message message);
+  [[nodiscard]] Connections::Bounds bounds() const;
+  void refuse(Handle connection, const std::string& call, int why, double wait_ms);
+  void turn_down(Handle request, int why, double wait_ms);
   void release(const std::string& call, int why, Handle preferred);
+  void send_release(const std::string& call, std::string line, Handle preferred, Handle avoided, int sent);
+  void heard(const std::string& call);
   void forget(Handle request);
-  void trust(Handle connection);
+  void know(Handle connection, Line::Known known);
+  [[nodiscard]] std::optional<Request> read_offer(const Message& message) const;
+  void refuse_junk(Handle connection, const std::string& call);
 
   Clock& clock_;
   Deadlines& deadlines_;
@@ -71,13 +97,19 @@
   Router& router_;
   const Config& config_;
   std::function<bool()> ready_;
-  std::function<void(const std::string&, int)> stray_;
+  std::function<void(const std::string&)> stray_;
+  std::function<bool(maddershed::ExchangeNumber)> knows_number_;
   std::unordered_map<Handle, Taken> taken_;
   std::unordered_map<std::string, Handle> by_name_;
   EndedCalls ended_;
-  std::set<Handle> untried_;         ///< connections that have said nothing yet
-  std::set<Handle> open_;            ///< connections from callers: not those of a mere test
-  std::vector<std::string> unsaid_;  ///< releases that no connection could carry yet
+  std::unordered_map<Handle, Line> lines_;            ///< by connection
+  std::unordered_map<std::string, Unheard> unheard_;  ///< by call
+  std::deque<std::pair<std::string, std::string>>
+      unsaid_;  ///< releases, by call, that no connection could carry yet
+  std::uint64_t turn_ = 0;
+  std::size_t standing_ = 0;  ///< of those in taken_
+  bool confirmed_ = false;    ///< callers here confirm the releases they hear
+  Address listener_;
   bool door_closed_ = false;
 };
 
--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -23,8 +23,9 @@
 // A machine that has stopped for a drain may leave its connections open for seconds, and fail each test on
 // them: its calls are cut by then.
 constexpr double down_after_ms = 1000;
-constexpr double probe_kept_ms = 10000;  // without an answer
-constexpr double gone_after_ms = 1000;   // the last releases of one that is gone may still be under way
+constexpr double probe_kept_ms = 10000;   // without an answer
+constexpr double unheard_kept_ms = 1000;  // a connection that was dead already has ended by then
+constexpr double gone_after_ms = 1000;    // the last releases of one that is gone may still be under way
 
 Cause cause_of(const std::string& note) {
   if (note == "all_trunks_busy") return Cause::no_circuit;
@@ -165,7 +166,7 @@
   link.lines[at.line].heard = clock_.now();
   link.retry_ms = 0;
   link.unreached = 0;
-  for (const auto& line : std::exchange(link.unsaid, {})) net_.write(connection, line);
+  for (const auto& call : std::exchange(link.unsaid, {})) say_end(link, call, connection);
   for (const auto attempt : std::exchange(link.waiting, {})) {
     if (attempts_.contains(attempt)) write_set_up(attempt, connection);
   }
@@ -190,6 +191,14 @@
     forget(attempt);
     router_.ended(attempt, {.result = Result::reset});
   }
+  std::vector<std::string> unheard;
+  for (const auto& [call, said] : link.unheard) {
+    if (said.connection == connection) unheard.push_back(call);
+  }
+  for (const auto& call : unheard) {
+    link.unheard.erase(call);
+    say_end(link, call, no_handle);
+  }
   const bool other_coming = std::any_of(link.lines.begin(), link.lines.end(),
                                         [](const Line& l) { return l.connection != no_handle; });
   if (!other_coming) fail_waiting(link);
@@ -228,6 +237,7 @@
     if (link.attempts.empty()) return drop(id);
   }
   std::erase_if(probes_, [now](const auto& each) { return now - each.second.second >= probe_kept_ms; });
+  std::erase_if(link.unheard, [now](const auto& each) { return now - each.second.at >= unheard_kept_ms; });
   deadlines_.set(now + watch_every_ms, [this, id] { watch(id); });
   if (link.attempts.empty()) return;  // nothing is out and nothing stands
   if (link.down != 0 && now - link.down >= down_after_ms) router_.exchange_lost(id, now);
@@ -270,6 +280,7 @@
                     {"left", std::to_string(std::lround(std::floor(left_ms)))}};
   message.text = request.body;
   attempts_[attempt] = {exchange, request.name, no_handle, print_message(message)};
+  link.unheard.erase(request.name);  // an end said before must not follow the new attempt
   link.attempts[request.name] = attempt;
   if (const auto connection = open_connection(link); connection != no_handle) {
     return write_set_up(attempt, connection);
@@ -308,7 +319,7 @@
   const auto out = it->second;
   forget(attempt);
   // A set-up that still waited for its connection never left.
-  if (out.connection != no_handle) say_end(links_[out.exchange], out.call, out.connection, cause::normal);
+  if (out.connection != no_handle) say_end(links_[out.exchange], out.call, out.connection);
 }
 
 void Converters::release(Handle attempt) {
@@ -316,21 +327,26 @@
   if (it == attempts_.end()) return;
   const auto out = it->second;
   forget(attempt);
-  say_end(links_[out.exchange], out.call, out.connection, cause::normal);
+  say_end(links_[out.exchange], out.call, out.connection);
 }
 
-void Converters::say_end(Link& link, const std::string& call, Handle preferred, int why) {
+/// Guards against a release that is written on a connection already dead: until the converter confirms it,
+/// it goes once more when its connection ends.
+void Converters::say_end(Link& link, const std::string& call, Handle preferred) {
   Message message;
   message.call = call;
-  message.why = why;
+  message.why = cause::normal;
   const auto line = print_message(message);
-  if (preferred != no_handle && net_.write(preferred, line)) return;
-  if (const auto other = open_connection(link); other != no_handle && net_.write(other, line)) return;
-  if (link.unsaid.size() < most_unsaid) link.unsaid.push_back(line);
+  for (const auto connection : {preferred, open_connection(link)}) {
+    if (connection == no_handle || !net_.write(connection, line)) continue;
+    if (link.unheard.size() < most_unsaid) link.unheard[call] = {connection, clock_.now()};
+    return;
+  }
+  if (link.unsaid.size() < most_unsaid) link.unsaid.push_back(call);
 }
 
-void Converters::release_anywhere(const std::string& call, int why) {
-  for (auto& [id, link] : links_) say_end(link, call, no_handle, why);
+void Converters::release_anywhere(const std::string& call) {
+  for (auto& [id, link] : links_) say_end(link, call, no_handle);
 }
 
 void Converters::send_test(Link& link, Handle connection, int why) {
@@ -369,7 +385,9 @@
   }
   switch (message.op) {
     case Op::ringing:
+      return;
     case Op::ended:
+      link.unheard.erase(message.call);
       return;
     case Op::group:
       link.state_told = true;
@@ -388,7 +406,7 @@
       const auto it = link.attempts.find(message.call);
       if (it != link.attempts.end()) return router_.stands(it->second, *message.text);
       // It stands for nobody: the word that it was given up has crossed it, or a restart lies between.
-      return say_end(link, message.call, connection, cause::normal);
+      return say_end(link, message.call, connection);
     }
     case Op::end:
       return on_end(link, connection, message);
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -26,7 +26,7 @@
   /// Told of a converter's word on a call that this process never had.
   void set_stray(std::function<void(const std::string&, int)> stray) { stray_ = std::move(stray); }
   /// Cuts a call whose converter is not known.
-  void release_anywhere(const std::string& call, int why);
+  void release_anywhere(const std::string& call);
   /// Each converter in service has told the state of its group.
   [[nodiscard]] bool all_heard() const;
   /// Whether some converter but the own one has, or had, this number.
@@ -54,13 +54,18 @@
     double tested_at = 0;  ///< a test is unanswered since; 0: none
     Deadlines::Key retry;
   };
+  struct Said {
+    Handle connection = no_handle;
+    double at = 0;
+  };
   struct Link {
     Converter converter;
     std::array<Line, held_connections> lines;
     std::size_t preferred = 0;  ///< the line for set-ups, whose word on the group counts
     std::unordered_map<std::string, Handle> attempts;  ///< by call: out or standing
     std::vector<Handle> waiting;                       ///< attempts until a connection is open
-    std::vector<std::string> unsaid;                   ///< releases until a connection is open
+    std::vector<std::string> unsaid;                   ///< calls to release until a connection is open
+    std::unordered_map<std::string, Said> unheard;     ///< releases not confirmed yet, by call
     double retry_ms = 0;
     double unreached = 0;  ///< since when no connection is open; 0: one is
     double down = 0;       ///< since when it fails its tests and says nothing else; 0: it does not
@@ -85,7 +90,7 @@
   void on_message(Link& link, Handle connection, const Message& message);
   void on_end(Link& link, Handle connection, const Message& message);
   void forget(Handle attempt);
-  void say_end(Link& link, const std::string& call, Handle preferred, int why);
+  void say_end(Link& link, const std::string& call, Handle preferred);
   void send_test(Link& link, Handle connection, int why);
   void watch(ExchangeId exchange);
   void drop(ExchangeId exchange);
--- a/src/platform/message.cpp
+++ b/src/platform/message.cpp
@@ -140,16 +140,18 @@
   return std::string(out.GetString(), out.GetSize()) + "\n";
 }
 
-std::vector<std::pair<std::string, double>> parse_figures(const std::string& text) {
-  std::vector<std::pair<std::string, double>> out;
+Figures parse_figures(const std::string& text) {
+  Figures out;
   std::string_view rest = text;
   while (!rest.empty()) {
     const auto end = std::min(rest.find(';'), rest.size());
     const auto part = rest.substr(0, end);
-    if (const auto colon = part.find(':'); colon != std::string_view::npos) {
-      if (const auto value = to_number(part.substr(colon + 1))) {
-        out.emplace_back(part.substr(0, colon), *value);
-      }
+    const auto colon = part.find(':');
+    const auto value = colon == std::string_view::npos ? std::nullopt : to_number(part.substr(colon + 1));
+    if (value) {
+      out.values.emplace_back(part.substr(0, colon), *value);
+    } else {
+      out.whole = false;
     }
     rest.remove_prefix(std::min(end + 1, rest.size()));
   }
@@ -158,7 +160,7 @@
 
 maddershed::LoadReport parse_load(const std::string& text, const std::vector<std::string>& columns) {
   std::vector<float> figures(columns.size(), -1.0F);
-  for (const auto& [name, value] : parse_figures(text)) {
+  for (const auto& [name, value] : parse_figures(text).values) {
     for (std::size_t i = 0; i < columns.size(); ++i) {
       if (columns[i] == name || columns[i] == settings_word(name)) figures[i] = static_cast<float>(value);
     }
--- a/src/platform/message.hpp
+++ b/src/platform/message.hpp
@@ -35,15 +35,17 @@
   [[nodiscard]] double number(std::string_view name, double otherwise) const;
 };
 
-inline constexpr std::size_t most_line = std::size_t{16} * 1024;
-
 /// Throws Unreadable with the reason code for the connection's end.
 [[nodiscard]] Message parse_message(const std::string& line);
 /// With the line feed.
 [[nodiscard]] std::string print_message(const Message& message);
 
-/// "dest:2;width:1;via:-1" as pairs; parts without a number are left out.
-[[nodiscard]] std::vector<std::pair<std::string, double>> parse_figures(const std::string& text);
+/// "dest:2;width:1;via:-1" as pairs; parts without a number are left out, and it is not whole then.
+struct Figures {
+  std::vector<std::pair<std::string, double>> values;
+  bool whole = true;
+};
+[[nodiscard]] Figures parse_figures(const std::string& text);
 [[nodiscard]] maddershed::LoadReport parse_load(const std::string& text,
                                                 const std::vector<std::string>& columns);
 
--- a/src/platform/platform_service.cpp
+++ b/src/platform/platform_service.cpp
@@ -1,23 +1,28 @@
 #include "platform/platform_service.hpp"
 
 namespace heathturn {
+
+using maddershed::ExchangeNumber;
+
 namespace {
 
 constexpr double ready_anyway_ms = 1500;  // a converter that does not speak keeps nobody waiting
 
 }  // namespace
 
-PlatformService::PlatformService(Program& program, Config config)
+PlatformService::PlatformService(Program& program, Config config, std::string path)
     : program_(program),
       config_(std::move(config)),
+      path_(std::move(path)),
       router_(program.clock(), program.deadlines(), config_.settings, config_.seed),
       converters_(program.clock(), program.deadlines(), program.net(), router_, config_),
       callers_(program.clock(), program.deadlines(), program.net(), router_, config_) {
+  program.net().set_most_unsent(config_.most_unsent);
   router_.set_carrier(converters_);
   router_.set_log([&program](const std::string& text) { program.log(text); });
   converters_.set_stray([this](const std::string& call, int why) { callers_.stray_over(call, why); });
-  callers_.set_stray_release(
-      [this](const std::string& call, int why) { converters_.release_anywhere(call, why); });
+  callers_.set_stray_release([this](const std::string& call) { converters_.release_anywhere(call); });
+  callers_.set_knows_number([this](ExchangeNumber number) { return converters_.knows_number(number); });
   callers_.set_ready([this] {
     return converters_.all_heard() || program_.clock().now() - program_.started() >= ready_anyway_ms;
   });
@@ -26,13 +31,39 @@
 void PlatformService::start() {
   router_.start();
   converters_.update(config_.known, true);
-  if (config_.bus) {
-    bus_ = std::make_unique<EventBus>(
-        program_.clock(), program_.deadlines(), program_.net(), *config_.bus, config_.known_offset,
-        [this](const std::vector<Converter>& list, bool whole) { converters_.update(list, whole); });
-    bus_->start();
-  }
+  start_bus();
   callers_.listen();
 }
 
+void PlatformService::start_bus() {
+  if (!config_.bus) return;
+  bus_ = std::make_unique<EventBus>(
+      program_.clock(), program_.deadlines(), program_.net(), *config_.bus, config_.known_offset,
+      [this](const std::vector<Converter>& list, bool whole) { converters_.update(list, whole); });
+  bus_->start();
+}
+
+/// The bus, the limits, the tenants and time limits change at once. What the calls in work were decided by
+/// stays: the module's settings and the own address take a restart.
+void PlatformService::reload() {
+  const auto fresh = parse_config(read_file(path_));
+  if (fresh.listen != config_.listen) program_.log("listen: a change takes a restart");
+  if (fresh.settings_text != config_.settings_text) program_.log("settings: a change takes a restart");
+  config_.sockets = fresh.sockets;
+  config_.memory_mb = fresh.memory_mb;
+  config_.most_requests = fresh.most_requests;
+  config_.most_unsent = fresh.most_unsent;
+  config_.tenants = fresh.tenants;
+  config_.connect_timeout_ms = fresh.connect_timeout_ms;
+  program_.net().set_most_unsent(config_.most_unsent);
+  callers_.set_bounds();
+  if (!fresh.bus) return;
+  config_.bus = fresh.bus;
+  if (bus_) {
+    bus_->move(*fresh.bus);
+  } else {
+    start_bus();
+  }
+}
+
 }  // namespace heathturn
--- a/src/platform/platform_service.hpp
+++ b/src/platform/platform_service.hpp
@@ -12,17 +12,22 @@
 
 class PlatformService : public Service {
  public:
-  PlatformService(Program& program, Config config);
+  /// `path`: where the configuration was read, for reload().
+  PlatformService(Program& program, Config config, std::string path);
   [[nodiscard]] const char* kind() const override { return "platform"; }
   void start() override;
+  void reload() override;
   void close_door() override { callers_.close_door(); }
   [[nodiscard]] Router& router() override { return router_; }
   [[nodiscard]] std::vector<ConverterView> converters() const override { return converters_.view(); }
   [[nodiscard]] double longest_ms() const override { return config_.longest_give_up_ms; }
 
  private:
+  void start_bus();
+
   Program& program_;
   Config config_;
+  std::string path_;
   Router router_;
   Converters converters_;
   Callers callers_;
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -27,12 +27,15 @@
 int Program::run() {
   std::signal(SIGPIPE, SIG_IGN);  // a peer that has gone is an error of that connection, not of the process
   std::vector<std::unique_ptr<event, void (*)(event*)>> signals;
-  for (const int signal : {SIGTERM, SIGINT}) {
-    signals.emplace_back(
-        evsignal_new(
-            net_.base(), signal,
-            [](evutil_socket_t, short, void* self) { static_cast<Program*>(self)->drain(); }, this),
-        event_free);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    signals.emplace_back(evsignal_new(
+                             net_.base(), signal,
+                             [](evutil_socket_t got, short, void* self) {
+                               auto& program = *static_cast<Program*>(self);
+                               got == SIGHUP ? program.reload() : program.drain();
+                             },
+                             this),
+                         event_free);
     event_add(signals.back().get(), nullptr);
   }
   for (const auto& service : services_) service->start();
@@ -41,6 +44,18 @@
   return 0;
 }
 
+void Program::reload() {
+  for (const auto& service : services_) {
+    try {
+      service->reload();
+      log(std::string("configuration read again front=") + service->kind());
+    } catch (const std::exception& error) {
+      // Guards against a file that is half written or wrong: it must not cost the calls in work.
+      log(std::string("configuration stays as it was front=") + service->kind() + ": " + error.what());
+    }
+  }
+}
+
 void Program::drain() {
   if (draining_) return;
   draining_ = true;
--- a/src/program.hpp
+++ b/src/program.hpp
@@ -22,6 +22,8 @@
   int run();
   /// Takes work a little longer, answers all that it has taken, and ends.
   void drain();
+  /// Each service reads its file again; what cannot be read leaves its service as it was.
+  void reload();
   void log(const std::string& text);
 
   [[nodiscard]] Clock& clock() { return clock_; }
--- a/src/service.hpp
+++ b/src/service.hpp
@@ -19,6 +19,8 @@
   virtual ~Service() = default;
   [[nodiscard]] virtual const char* kind() const = 0;
   virtual void start() = 0;
+  /// Reads its file again and goes on by it. Throws InputError naming the key, with nothing changed then.
+  virtual void reload() = 0;
   /// New requests are refused from here on.
   virtual void close_door() = 0;
   [[nodiscard]] virtual Router& router() = 0;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -538,6 +538,18 @@
   EXPECT_EQ(only<SendSetUp>(d.advance(20ms)).size(), 1U);
 }
 
+TEST(Guards, ACallThatMeetsErrorsIsNotTriedOnAndOn) {
+  Driver d;
+  EXPECT_EQ(only<SendSetUp>(d.offer(1, 1)).size(), 1u);
+  auto next = d.end(1, 101, Result::error);
+  const auto later = d.advance(50ms);
+  next.insert(next.end(), later.begin(), later.end());
+  ASSERT_EQ(only<SendSetUp>(next).size(), 1u);
+  const auto last = d.end(1, 101, Result::error, Cause::none, {}, 1);
+  EXPECT_EQ(only<Fail>(last).size(), 1u);
+  EXPECT_TRUE(only<SendSetUp>(d.advance(3s)).empty());
+}
+
 TEST(Events, AnAttemptsEndToldTwiceCountsOnce) {
   Driver d;
   ASSERT_EQ(only<SendSetUp>(d.offer(1, 1)).size(), 1U);
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -16,13 +16,23 @@
   Address callers;
   std::vector<Socket> lines;  ///< the first connection held to each converter
 
-  explicit Platform(bool connect = true, rlim_t descriptors = 1024) {
+  int sockets = 1024;  ///< as the configuration tells
+
+  explicit Platform(bool connect = true, rlim_t descriptors = 1024, int told_sockets = 1024)
+      : sockets(told_sockets) {
     for (int i = 0; i < 2; ++i) converters.push_back(Socket::bound(SOCK_STREAM));
     start(descriptors);
     if (!connect) return;
     for (auto& converter : converters) lines.push_back(held(converter));
   }
   void start(rlim_t descriptors = 1024) {
+    config = std::make_unique<TempFile>(text());
+    program =
+        std::make_unique<Process>(std::vector<std::string>{"serve", "--config", config->path()}, descriptors);
+    callers = program->listening("caller");
+  }
+  /// The configuration, with the bus where it is now.
+  [[nodiscard]] std::string text() const {
     std::string endpoints;
     for (std::size_t i = 0; i < converters.size(); ++i) {
       endpoints += std::string(i > 0 ? "," : "") + R"({"name":"s-0000000)" + std::to_string(i + 1) +
@@ -30,20 +40,17 @@
                    R"(","zone":"z","type":"t","group":)" + std::to_string(i + 1) +
                    R"(,"status":"in_service","weight":1,"since_ms":0})";
     }
-    config = std::make_unique<TempFile>(
-        R"({"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{"sockets":1024},"bus":")" +
-        bus.address().text() +
-        R"(","known":{"offset":3,"batch":[{"offset":3,"topology":{"snapshot":true,"endpoints":[)" +
-        endpoints +
-        R"(]}}]},"settings":{"balancers":3,"step_us":5000,"areas":["z"],
+    return R"({"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{"sockets":)" +
+           std::to_string(sockets) + R"(},"bus":")" + bus.address().text() +
+           R"(","known":{"offset":3,"batch":[{"offset":3,"topology":{"snapshot":true,"endpoints":[)" +
+           endpoints +
+           R"(]}}]},"settings":{"balancers":3,"step_us":5000,"areas":["z"],
+        "tenants":[{"name":"acme"}],
         "classes":[{"name":"voice","importance":1,"objective_us":1200000,"give_up_us":9000000}],
         "specifics":{"network_form":"meshed","home_no":0,"guard_us":300000,"resend_us":400000},
         "invariants":{"start_capacity":0.3,"cold_us":1000,"fall_multiple":4,"overload_for_us":3000000},
         "limits":{"try_limit":6,"max_retry_after_us":2000000,"retry_after":true,"cancelling":true,
-        "connect_timeout_us":500000},"stats":{"columns":["spare","total","cut_by","recent_ms"]}}})");
-    program =
-        std::make_unique<Process>(std::vector<std::string>{"serve", "--config", config->path()}, descriptors);
-    callers = program->listening("caller");
+        "connect_timeout_us":500000},"stats":{"columns":["spare","total","cut_by","recent_ms"]}}})";
   }
   /// Takes one connection of the program's and tells the state of the group on it.
   static Socket held(const Socket& converter, int free = 10) {
@@ -145,6 +152,100 @@
   p.stand(caller, call_b);
 }
 
+TEST_CASE("a set-up that no converter could use is refused at once and goes nowhere") {
+  Platform p;
+  auto caller = Socket::connect(p.callers);
+  const std::pair<std::string, std::string> cases[] = {
+      {"class", "voice_x"},
+      {"tenant", "nobody"},
+      {"left", "soon"},
+      {"left", "-5"},
+      {"left", ""},
+      {"left", "99999999999999999999999"},
+      {"extras", "x"},
+      {"extras", "dest:1;width:400;via:-1"},
+      {"extras", "dest:-3;width:1"},
+      {"extras", "dest:nan;width:1"},
+      {"extras", "dest:99;width:1"},
+      {"extras", "dest:0;width:1"},
+      {"key", "number"},
+  };
+  int number = 0;
+  for (const auto& [name, value] : cases) {
+    auto offer = Platform::offer("00000000000000" + std::to_string(10 + number++));
+    std::erase_if(offer.fields, [&name = name](const auto& each) { return each.first == name; });
+    offer.fields.emplace_back(name, value);
+    caller.say(offer);
+    const auto reply = caller.message();
+    CHECK(reply.call == offer.call);
+    CHECK(reply.why == cause::error);
+  }
+  CHECK(p.lines[0].quiet(20));
+  p.stand(caller, call_a);
+  // Who goes on so is not listened to for ever.
+  auto junk = Platform::offer(call_b);
+  junk.fields[0].second = "voice_x";
+  do caller.try_say(junk);
+  while (!caller.line().empty());
+  CHECK(p.program->log("side=caller").find("reason=malformed") != std::string::npos);
+}
+
+TEST_CASE("an open call's id in another's mouth neither draws its answer nor ends it") {
+  Platform p;
+  auto caller = Socket::connect(p.callers), thief = Socket::connect(p.callers);
+  caller.say(Platform::offer(call_a));
+  CHECK(p.lines[0].message().call == call_a);
+  auto other = Platform::offer(call_a);
+  other.text = "another description";
+  thief.say(other);
+  CHECK(thief.message().why == cause::error);
+  thief.say(Platform::word(Op::end, call_a, 16));
+  CHECK(parse_message(thief.line()).op == Op::ended);
+  p.lines[0].say(Platform::word(Op::accept, call_a));
+  CHECK(caller.message().op == Op::accept);
+  CHECK(thief.quiet(50));
+  // The same on one connection: it cannot be told which of the two an answer is for.
+  caller.say(Platform::offer(call_b));
+  caller.say(Platform::offer(call_b));
+  CHECK(caller.closed());
+}
+
+TEST_CASE("who connects and stays makes room for others, but not while a request is open") {
+  Platform p(true, 1024, 16);  // 8 of them for callers
+  auto busy = Socket::connect(p.callers);
+  busy.say(Platform::offer(call_a, 3000, 2));
+  CHECK(p.lines[1].message().call == call_a);
+  auto usual = Socket::connect(p.callers);
+  p.stand(usual, call_b);
+  std::vector<Socket> crowd;
+  for (int i = 0; i < 30; ++i) crowd.push_back(Socket::connect(p.callers));
+  auto late = Socket::connect(p.callers);
+  p.stand(late, "00000000000000c3");
+  p.lines[1].say(Platform::word(Op::accept, call_a));
+  CHECK(busy.message().op == Op::accept);
+  p.lines[0].say(Platform::word(Op::end, call_b, 16));
+  CHECK(usual.message().call == call_b);  // who has been served goes after who said nothing
+  // And who never says anything is let go of, full or not.
+  const double from = now_ms();
+  CHECK(crowd.back().closed());
+  CHECK(now_ms() - from < 3000);
+}
+
+TEST_CASE("a release that its caller does not confirm, though callers do, goes to another connection") {
+  Platform p;
+  auto deaf = Socket::connect(p.callers), good = Socket::connect(p.callers);
+  p.stand(good, call_b);
+  p.stand(deaf, call_a);
+  p.lines[0].say(Platform::word(Op::end, call_b, 16));
+  CHECK(good.message().call == call_b);
+  good.say(Platform::word(Op::ended, call_b));
+  p.lines[0].say(Platform::word(Op::end, call_a, 16));
+  CHECK(deaf.message().call == call_a);
+  CHECK(good.message().call == call_a);
+  good.say(Platform::word(Op::ended, call_a));
+  CHECK(deaf.quiet(400));
+}
+
 TEST_CASE("a peer that resets, or leaves before its answer, ends nothing but its own calls") {
   Platform p;
   {
@@ -413,6 +514,39 @@
   CHECK(line.message().call == call_b);
 }
 
+// ---- New configurations ---------------------------------------------------------------------------------
+
+TEST_CASE("SIGHUP: the bus is asked at its new address from the last number on, and no call is lost") {
+  Platform p;
+  auto old_feed = p.bus.accept();
+  old_feed.take(8);
+  old_feed.write(frame(7, 0) + frame(4, 2, 2, 0, p.converters[1].address()));
+  auto caller = Socket::connect(p.callers);
+  p.stand(caller, call_a);
+  caller.say(Platform::offer(call_b));
+  CHECK(p.lines[0].message().call == call_b);
+  p.bus = Socket::bound(SOCK_STREAM);
+  p.config->write(p.text());
+  p.program->signal(SIGHUP);
+  auto feed = p.bus.accept();
+  CHECK(big_endian(feed.take(8), 0, 8) == 4);
+  CHECK(old_feed.closed());
+  p.lines[0].say(Platform::word(Op::accept, call_b));
+  CHECK(caller.message().call == call_b);
+  // What cannot be read changes nothing, and the log names the key at fault.
+  p.config->write(R"({"listen":"127.0.0.1:0","bus":"nowhere"})");
+  p.program->signal(SIGHUP);
+  CHECK(p.program->log("configuration stays as it was").find("bus is not an address") != std::string::npos);
+  p.config->write("{\"listen\":");
+  p.program->signal(SIGHUP);
+  CHECK(p.program->log("configuration stays as it was").find("not JSON") != std::string::npos);
+  feed.write(frame(5, 2, 9, 0, p.converters[1].address()));
+  caller.say(Platform::offer("00000000000000c3", 3000, 9));
+  CHECK(Platform::held(p.converters[1]).quiet(0));  // the one to number 2
+  p.lines[0].say(Platform::word(Op::end, call_a, 16));
+  CHECK(caller.message().call == call_a);
+}
+
 // ---- The end --------------------------------------------------------------------------------------------
 
 TEST_CASE("SIGTERM: work is taken a little longer, all is answered, and the exit is clean") {
--- a/tests/router/stand_in.hpp
+++ b/tests/router/stand_in.hpp
@@ -123,6 +123,11 @@
     }
   }
   void say(const Message& message) const { write(print_message(message)); }
+  /// The same to a peer that may have closed.
+  void try_say(const Message& message) const {
+    const auto bytes = print_message(message);
+    (void)!::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
   /// True when nothing more comes but the end.
   bool closed() {
     while (fill()) {
@@ -261,8 +266,9 @@
     const int descriptor = ::mkstemp(path_.data());
     REQUIRE(descriptor >= 0);
     ::close(descriptor);
-    std::ofstream(path_) << text;
+    write(text);
   }
+  void write(const std::string& text) const { std::ofstream(path_, std::ios::trunc) << text; }
   TempFile(const TempFile&) = delete;
   TempFile& operator=(const TempFile&) = delete;
   ~TempFile() { ::unlink(path_.c_str()); }
