Windows and budgets open within a second of the start, not over eight

The trace showed calls held at windows of one set-up. FadingRate in decide.cpp counts over a memory of 8 s from zero, so that a rate of 20 a second is taken for 2.4 after one second; windows (takes_set_up) and cold budgets (usual_rate) hang on it. Ruled out: full groups, 'full' answers (none), the throttle (no line of it in the log), places for callers. A test of the module; it fails without the change.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -44,6 +44,7 @@
 constexpr int misses_pressed = 2;   // overdue in a row that press a processor while others are prompt [ours]
 constexpr double rare_calls = 0.5;  // own calls in a target delay under which a window is no brake [ours]
 constexpr Duration offered_memory = 8s;       // memory of the offered rates [ours]
+constexpr double rate_span_least = 1;         // seconds: shorter ones tell no rate [ours]
 constexpr double reserve_base = 0.03;         // share of a group kept from overflow [ours]
 constexpr double reserve_slope = 0.5;         // more, for each share of direct calls blocked [ours]
 constexpr double reserve_most = 0.3;          // at most [ours]
@@ -84,15 +85,22 @@
   return figure;
 }
 
-/// A rate that forgets: events a second over about `offered_memory`.
+/// A rate that forgets: events a second over about `offered_memory`, or since it was begun if that is
+/// shorter: else windows and budgets would start at a fraction of what is usual and open only over that
+/// memory.
 struct FadingRate {
-  double rate = 0;
+  Time since;
+  double sum = 0;  // of what is not forgotten
   Time last;
+  [[nodiscard]] double faded(Time now) const {
+    return sum * std::exp(-seconds(now - last) / seconds(offered_memory));
+  }
   [[nodiscard]] double at(Time now) const {
-    return rate * std::exp(-seconds(now - last) / seconds(offered_memory));
+    const double span = std::max(rate_span_least, seconds(now - since)) / seconds(offered_memory);
+    return faded(now) / seconds(offered_memory) / (1 - std::exp(-span));
   }
   void count(Time now) {
-    rate = at(now) + 1 / seconds(offered_memory);
+    sum = faded(now) + 1;
     last = now;
   }
 };
@@ -367,7 +375,7 @@
   }
   Destination& destination(ExchangeNumber number) {
     auto& to = destinations_[number];
-    to.offered.resize(worths_.size());
+    to.offered.resize(worths_.size(), FadingRate{.since = started_});
     to.counter.resize(worths_.size());
     return to;
   }
@@ -588,6 +596,7 @@
 
   void on(const Started&) {
     woke_at_ = Time{};  // started, not woken
+    started_ = own_answered_.since = offered_.since = now_;
     act(SetTimer{now_ + tick_every, tick_token});
     if (s_.must_ask_directory) act(SubscribeDirectory{});
   }
@@ -605,7 +614,9 @@
       for (auto& [id, far] : far_) far.entry.state = ExchangeState::gone;
     }
     for (const auto& entry : update.entries) {
-      auto& far = far_[entry.exchange];
+      const auto [it, fresh] = far_.try_emplace(entry.exchange);
+      auto& far = it->second;
+      if (fresh) far.answered.since = now_;
       if (far.entry.started !=
           entry.started) {  // a new processor: nothing that was known of the old one holds
         far.f = 1;
@@ -841,7 +852,7 @@
   std::multiset<Time> out_in_all_;  // when the set-ups were sent that are still out
   FadingRate own_answered_, offered_;
   double set_up_delay_ = 0;  // smoothed, over all far processors, seconds
-  Time own_down_until_, woke_at_;
+  Time own_down_until_, woke_at_, started_;
   std::vector<Duration> longest_try_;  // time left of the longest try so far, of each class
   Duration subscribe_pause_ = subscribe_again_first;
 };
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -538,6 +538,20 @@
   EXPECT_EQ(only<SendSetUp>(d.advance(20ms)).size(), 1U);
 }
 
+TEST(Guards, TheWindowsOpenWithinTheFirstSecond) {
+  Driver d;
+  std::uint64_t id = 1;
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(d.complete(d.offer(id++, 1), {}), 1);
+    d.advance(50ms);
+  }
+  // Twenty a second answered: eight within the target delay of 400 ms.
+  std::size_t out = 0;
+  for (int i = 0; i < 12; ++i) out += only<SendSetUp>(d.offer(id++, 1)).size();
+  EXPECT_GE(out, 8u);
+  EXPECT_LE(out, 10u);
+}
+
 TEST(Guards, ACallThatMeetsErrorsIsNotTriedOnAndOn) {
   Driver d;
   EXPECT_EQ(only<SendSetUp>(d.offer(1, 1)).size(), 1u);
