--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -89,9 +89,9 @@
 /// shorter: else windows and budgets would start at a fraction of what is usual and open only over that
 /// memory.
 struct FadingRate {
-  Time since;
+  Time since{};
   double sum = 0;  // of what is not forgotten
-  Time last;
+  Time last{};
   [[nodiscard]] double faded(Time now) const {
     return sum * std::exp(-seconds(now - last) / seconds(offered_memory));
   }
