--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -13,8 +13,9 @@
 constexpr double retry_first_ms = 50;  // between attempts to connect, doubling
 constexpr double retry_most_ms = 1000;
 constexpr std::size_t most_unsaid = 4096;  // releases kept for a converter that cannot be reached
-constexpr double watch_every_ms = 250;
-constexpr double heard_apart_ms = 500;    // what one connection may tell later than the other
+constexpr double watch_every_ms = 100;
+constexpr double heard_apart_ms = 150;    // what one connection may tell later than the other
+constexpr double behind_wait_ms = 400;    // for the test of one that is behind while the other is heard
 constexpr double silent_after_ms = 2000;  // nothing heard, while calls stand: a test is sent
 constexpr double test_wait_ms = 1000;     // and not answered by then: the connections are dead
 // Rule: the caller of a call that nobody releases hears of its end within 8 s. Silence is noticed 3 s after
@@ -245,11 +246,17 @@
     if (now - link.unreached >= lost_after_ms) router_.exchange_lost(id, now);
     return;
   }
+  double told_last = 0;
+  for (const auto& line : link.lines) told_last = std::max(told_last, line.open ? line.told : 0);
   for (auto& line : link.lines) {
     if (!line.open) continue;
-    if (line.tested_at != 0 && now - line.tested_at >= test_wait_ms) {
+    // The state of the group goes on all connections: one that lacks what the other has brought is likely
+    // dead, and so is soon the only one left if it is kept.
+    const bool behind = told_last - line.heard >= heard_apart_ms;
+    const bool other_told = told_last > line.tested_at;
+    if (line.tested_at != 0 && now - line.tested_at >= (other_told ? behind_wait_ms : test_wait_ms)) {
       net_.close(line.connection, reason::silent);
-    } else if (line.tested_at == 0 && now - line.heard >= silent_after_ms) {
+    } else if (line.tested_at == 0 && (behind || now - line.heard >= silent_after_ms)) {
       line.tested_at = now;
       send_test(link, line.connection, 0);
     }
@@ -391,6 +398,9 @@
       return;
     case Op::group:
       link.state_told = true;
+      if (const auto at = lines_.find(connection); at != lines_.end()) {
+        link.lines[at->second.line].told = clock_.now();
+      }
       // Each connection brings the same news, and the later one would bring older news after newer.
       if (connection != open_connection(link)) return;
       return router_.report(id, load_of(message));
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -51,6 +51,7 @@
     bool open = false;
     bool spoken = false;   ///< something has come
     double heard = 0;      ///< when anything came last
+    double told = 0;       ///< when the state of the group came last
     double tested_at = 0;  ///< a test is unanswered since; 0: none
     Deadlines::Key retry;
   };
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -374,6 +374,22 @@
   CHECK(caller.message().why == 16);
 }
 
+TEST_CASE("a connection that lacks the group's state the other one brings is replaced within a second") {
+  Platform p;
+  auto other = Platform::held(p.converters[0]);
+  auto caller = Socket::connect(p.callers);
+  p.stand(caller, call_a);
+  Message state;
+  state.op = Op::group;
+  state.fields = {{"load", "x0:9;x1:10"}};
+  const double from = now_ms();
+  do other.say(state);
+  while (p.lines[0].quiet(50) || !p.lines[0].line().empty());
+  CHECK(now_ms() - from < 1500);
+  caller.say(Platform::offer(call_b));
+  CHECK(other.message().call == call_b);
+}
+
 TEST_CASE("the other connection's older word on the group does not replace the newer one") {
   Platform p;
   auto caller = Socket::connect(p.callers);
