--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -479,7 +479,11 @@
   /// Direct first, else one random tandem. False when there is no way just now.
   bool place(Call& call) {
     FarExchange* direct = serving(call.offer.destination);
-    if (direct == nullptr || direct->entry.number == s_.home || now_ < own_down_until_) return false;
+    if (direct == nullptr || now_ < own_down_until_) return false;
+    // A subscriber of an exchange whose controller is away may ask here for this very exchange: it is sent
+    // nothing from here, but a tandem may have a group to it.
+    const bool at_home = direct->entry.number == s_.home;
+    if (at_home && call.offer.in_transit) return false;
     // A throttled call is held, not refused at once: a short pause costs it nothing when f returns in time.
     if (call.throttled &&
         throttled_share(destination(call.offer.destination), worths_, call.kind, direct->f, now_) > 0) {
@@ -490,7 +494,7 @@
     const bool direct_open = takes_set_up(*direct, share, call.offer.in_transit);
     if (!direct_open && !s_.pools) return false;  // whatever the way, it ends at this processor
     const double keep = call.offer.in_transit ? direct->reserve(call.offer.circuits) : 0;
-    const bool room = (!direct->group_told || direct->free >= call.offer.circuits + keep) &&
+    const bool room = !at_home && (!direct->group_told || direct->free >= call.offer.circuits + keep) &&
                       skilled(call, call.offer.destination);
     if (call.attempts == 0 && direct->total > 0)
       direct->blocking += blocking_weight * ((room ? 0 : 1) - direct->blocking);
--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -87,7 +87,7 @@
     if (restarted && converter.entry.started) router_.exchange_lost(id, to_ms(*converter.entry.started));
     // The own exchange is sent nothing, and has no group to tell of.
     link.own = converter.entry.number == config_.settings.home;
-    if (!link.own) numbers_.insert(converter.entry.number);
+    numbers_.insert(converter.entry.number);
     if (converter.entry.state != ExchangeState::ready || link.own) continue;
     for (std::size_t i = 0; i < held_connections; ++i) {
       if (link.lines[i].connection == no_handle) open(link, i);
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -29,7 +29,7 @@
   void release_anywhere(const std::string& call);
   /// Each converter in service has told the state of its group.
   [[nodiscard]] bool all_heard() const;
-  /// Whether some converter but the own one has, or had, this number.
+  /// Whether some converter has, or had, this number.
   [[nodiscard]] bool knows_number(maddershed::ExchangeNumber number) const {
     return numbers_.contains(number);
   }
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -538,6 +538,20 @@
   EXPECT_EQ(only<SendSetUp>(d.advance(20ms)).size(), 1U);
 }
 
+TEST(Routes, ACallToTheOwnExchangeGoesOverATandemOrNotAtAll) {
+  Driver d;
+  const auto sent = only<SendSetUp>(d.offer(1, 0));
+  ASSERT_EQ(sent.size(), 1u);
+  EXPECT_NE(sent[0].exchange.value, 100u);
+  CallOffered transit;
+  transit.call = CallId{2};
+  transit.time_left = 3s;
+  transit.destination = 0;
+  transit.tandem = 2;
+  transit.in_transit = true;
+  EXPECT_EQ(only<Refuse>(d.feed(transit)).size(), 1u);
+}
+
 TEST(Guards, TheWindowsOpenWithinTheFirstSecond) {
   Driver d;
   std::uint64_t id = 1;
