--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,7 +15,7 @@
 
 using namespace heathturn;
 
-constexpr const char* version = "0.2.0";
+constexpr const char* version = "0.3.0";
 
 struct Files {
   std::string config;
@@ -67,7 +67,7 @@
   app.require_subcommand(1);
   Files files;
   if (const char* given = std::getenv("PROXY_CONFIG")) files.config = given;
-  auto* serving = app.add_subcommand("serve", "Route calls and look-ups until SIGTERM");
+  auto* serving = app.add_subcommand("serve", "Route calls and look-ups until SIGTERM; SIGHUP reads the files again");
   auto* checking = app.add_subcommand("check-config", "Read the configuration and say what is wrong with it");
   for (auto* each : {serving, checking}) {
     each->add_option("--config", files.config, "The platform's configuration (default: $PROXY_CONFIG)");
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double words_under_way_ms = 60000;
+constexpr std::size_t most_ended = 16384;  // of which words may be under way
+constexpr double strays_a_second = 200;    // releases of calls unknown here that are passed on
 constexpr double quiet_test_ms = 50;
 constexpr double turned_away_wait_ms = 1000;  // told to who comes while the process ends, or asks too much
 constexpr double first_message_ms = 2000;     // a caller that says nothing is let go of within 3 s
@@ -34,7 +36,7 @@
 
 void EndedCalls::add(const std::string& call, double now) {
   if (calls_.insert(call).second) order_.emplace_back(now, call);
-  while (!order_.empty() && now - order_.front().first > words_under_way_ms) {
+  while (!order_.empty() && (now - order_.front().first > words_under_way_ms || order_.size() > most_ended)) {
     calls_.erase(order_.front().second);
     order_.pop_front();
   }
@@ -225,13 +227,23 @@
     } else {
       router_.caller_left(request);
     }
-  } else if (!ended_.has(message.call)) {
+  } else if (!ended_.has(message.call) && stray_may_pass()) {
     // The call may have stood before this process began: whoever holds it cuts it on this word.
     ended_.add(message.call, clock_.now());
     stray_(message.call);
   }
 }
 
+/// Guards the converters against a caller that releases calls nobody has: each word goes to all of them.
+bool Callers::stray_may_pass() {
+  const double now = clock_.now();
+  strays_ = std::min(strays_a_second, strays_ + (now - strays_at_) / 1000 * strays_a_second);
+  strays_at_ = now;
+  if (strays_ < 1) return false;
+  strays_ -= 1;
+  return true;
+}
+
 // ---- Answers --------------------------------------------------------------------------------------------
 
 void Callers::forget(Handle request) {
--- a/src/platform/callers.hpp
+++ b/src/platform/callers.hpp
@@ -89,6 +89,7 @@
   void forget(Handle request);
   void know(Handle connection, Line::Known known);
   [[nodiscard]] std::optional<Request> read_offer(const Message& message) const;
+  bool stray_may_pass();
   void refuse_junk(Handle connection, const std::string& call);
 
   Clock& clock_;
@@ -108,7 +109,9 @@
       unsaid_;  ///< releases, by call, that no connection could carry yet
   std::uint64_t turn_ = 0;
   std::size_t standing_ = 0;  ///< of those in taken_
-  bool confirmed_ = false;    ///< callers here confirm the releases they hear
+  double strays_ = 0;         ///< that may be passed on now
+  double strays_at_ = 0;
+  bool confirmed_ = false;  ///< callers here confirm the releases they hear
   Address listener_;
   bool door_closed_ = false;
 };
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -459,6 +459,24 @@
   CHECK(p.lines[0].message().call == "00000000000000c3");
 }
 
+TEST_CASE("a flood of releases for calls that nobody has does not reach the converters") {
+  Platform p;
+  auto caller = Socket::connect(p.callers), flood = Socket::connect(p.callers);
+  std::string ends;
+  for (int i = 0; i < 2000; ++i) {
+    ends += print_message(Platform::word(Op::end, "000000000000" + std::to_string(1000 + i), 16));
+  }
+  flood.write(ends);
+  for (int i = 0; i < 2000; ++i) CHECK(parse_message(flood.line()).op == Op::ended);
+  caller.say(Platform::offer(call_b));
+  int passed = 0;
+  while (p.lines[0].message().op == Op::end) ++passed;
+  CHECK(passed >= 100);
+  CHECK(passed < 1500);
+  p.lines[0].say(Platform::word(Op::accept, call_b));
+  CHECK(caller.message().op == Op::accept);
+}
+
 // ---- The event bus --------------------------------------------------------------------------------------
 
 std::string frame(std::uint64_t number, int kind, std::uint32_t id = 0, int state = 0, Address at = {}) {
