--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -151,8 +151,8 @@
   });
 }
 
-/// Nothing when a converter could not use the set-up, or the module not place it: a class or tenant that the
-/// settings do not name, a figure out of range or no number, a number of no converter.
+/// Nothing when no converter could use the set-up: a class or tenant that the settings do not name, a figure
+/// that is out of range or no number.
 std::optional<Request> Callers::read_offer(const Message& message) const {
   const auto* class_name = message.field("class");
   const auto* extras = message.field("extras");
--- a/tests/router/enum_test.cpp
+++ b/tests/router/enum_test.cpp
@@ -57,6 +57,27 @@
   CHECK(e.answer().id == 78);
 }
 
+TEST_CASE("SIGHUP: numbers go where the file now says, and an open look-up still has its answer") {
+  const Enum e;
+  e.ask(Enum::query(Enum::under("1.4.6")));
+  const auto open = e.asked(0);
+  auto text = read_file(e.file->path());
+  const std::string old = R"("64","destination":0)";
+  text.replace(text.find(old), old.size(), R"("64","destination":1)");
+  e.file->write(text);
+  e.program->signal(SIGHUP);
+  e.program->log("configuration read again front=enum");
+  e.send(0, open, Enum::reply(open.message, "sip:a@example.org"));
+  CHECK(holds(e.answer(), "sip:a@example.org"));
+  e.file->write(R"({"listen":"127.0.0.1:0","suffix":7})");
+  e.program->signal(SIGHUP);
+  CHECK(e.program->log("configuration stays as it was").find("suffix is not a text") != std::string::npos);
+  e.ask(Enum::query(Enum::under("2.4.6")));
+  const auto moved = e.asked(1);
+  e.send(1, moved, Enum::reply(moved.message, "sip:b@example.org"));
+  CHECK(holds(e.answer(), "sip:b@example.org"));
+}
+
 TEST_CASE("a truncated reply is continued over TCP, as one attempt, with the records of then") {
   const Enum e;
   e.ask(Enum::query(Enum::under("1.4")));
