--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -16,10 +16,11 @@
   Address callers;
   std::vector<Socket> lines;  ///< the first connection held to each converter
 
-  int sockets = 1024;  ///< as the configuration tells
+  int sockets = 1024, memory_mb = 2048;  ///< as the configuration tells
 
-  explicit Platform(bool connect = true, rlim_t descriptors = 1024, int told_sockets = 1024)
-      : sockets(told_sockets) {
+  explicit Platform(bool connect = true, rlim_t descriptors = 1024, int told_sockets = 1024,
+                    int told_memory_mb = 2048)
+      : sockets(told_sockets), memory_mb(told_memory_mb) {
     for (int i = 0; i < 2; ++i) converters.push_back(Socket::bound(SOCK_STREAM));
     start(descriptors);
     if (!connect) return;
@@ -41,7 +42,8 @@
                    R"(,"status":"in_service","weight":1,"since_ms":0})";
     }
     return R"({"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{"sockets":)" +
-           std::to_string(sockets) + R"(},"bus":")" + bus.address().text() +
+           std::to_string(sockets) + R"(,"memory_mb":)" + std::to_string(memory_mb) + R"(},"bus":")" +
+           bus.address().text() +
            R"(","known":{"offset":3,"batch":[{"offset":3,"topology":{"snapshot":true,"endpoints":[)" +
            endpoints +
            R"(]}}]},"settings":{"balancers":3,"step_us":5000,"areas":["z"],
@@ -210,6 +212,16 @@
   CHECK(caller.closed());
 }
 
+TEST_CASE("more requests than the memory is shared out for are refused at once, with a time to come back") {
+  Platform p(true, 1024, 1024, 8);  // room for 128
+  auto caller = Socket::connect(p.callers);
+  for (int i = 0; i < 129; ++i) caller.say(Platform::offer("000000000000" + std::to_string(1000 + i)));
+  const auto refusal = caller.message();
+  CHECK(refusal.call == "0000000000001128");
+  CHECK(refusal.why == cause::congestion);
+  CHECK(refusal.number("wait", 0) == 1000);
+}
+
 TEST_CASE("who connects and stays makes room for others, but not while a request is open") {
   Platform p(true, 1024, 16);  // 8 of them for callers
   auto busy = Socket::connect(p.callers);
