--- a/include/maddershed/call_controller.hpp
+++ b/include/maddershed/call_controller.hpp
@@ -116,6 +116,12 @@
   bool redialled = false;
   bool cut_before = false;          ///< was standing, was cut, comes again
   std::uint64_t number_called = 0;  ///< 0: not told
+  /// The call has a route of its own: it may go to `destination` and `alternates` alone, and to the latter in
+  /// their order. Pools only.
+  bool routed = false;
+  std::vector<ExchangeNumber> alternates{};
+  std::uint32_t attempt_limit = 0;  ///< 0: the settings'
+  Duration retry_wait{0};           ///< before another attempt, however the one before ended
 };
 
 struct CallStands {
--- /dev/null
+++ b/src/config/explain.cpp
@@ -0,0 +1,113 @@
+#include "config/explain.hpp"
+
+#include <algorithm>
+
+#include "routes/route_table.hpp"
+
+namespace heathturn {
+namespace {
+
+using maddershed::InputError;
+using routes::RouteTable;
+
+template <typename Items>
+std::uint32_t index_of(const Items& items, const std::string& name, const char* kind) {
+  for (std::uint32_t i = 0; i < items.size(); ++i) {
+    if (items[i].name == name) return i;
+  }
+  throw InputError(std::string("no ") + kind + " is named \"" + name + "\"");
+}
+
+const char* fit_text(RouteTable::Fit fit) {
+  switch (fit) {
+    case RouteTable::Fit::taken:
+      return "taken";
+    case RouteTable::Fit::other_class:
+      return "not taken: it is for another class";
+    case RouteTable::Fit::other_tenant:
+      return "not taken: it is for another tenant";
+    case RouteTable::Fit::other_time:
+      break;
+  }
+  return "not taken: it is for another time";
+}
+
+std::string class_reason(const EnumConfig& config, const Question& question, std::uint32_t tenant) {
+  if (!question.class_name.empty()) return "as asked";
+  if (tenant != any && config.tenants[tenant].traffic_class != any) return "the tenant's";
+  std::string longest;
+  bool found = false;
+  for (const auto& each : config.class_prefixes) {
+    if (!question.number.starts_with(each.prefix) || (found && each.prefix.size() < longest.size())) continue;
+    longest = each.prefix;
+    found = true;
+  }
+  return found ? "by its prefix " + (longest.empty() ? "\"\"" : longest) : "the first class, since no prefix fits";
+}
+
+std::string pool_text(const Pool& pool, const EnumConfig& config) {
+  std::string out = "pool " + pool.name + ":";
+  for (const auto& each : pool.members) {
+    out += " " + each.converter.name + " (" + each.converter.address.text() + ", weight " +
+           units::number_text(each.weight) + (each.zone.empty() ? "" : ", zone " + each.zone) + ")";
+  }
+  if (pool.from_registry) {
+    out += " and what registry " + config.registries[pool.from_registry->registry].name + " lists as " +
+           pool.from_registry->application;
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string explain_number(const EnumConfig& config, const Question& question) {
+  const auto& number = question.number;
+  if (number.empty() || number.find_first_not_of("0123456789") != std::string::npos) {
+    throw InputError("\"" + number + "\" is no number; expected digits, the country's first");
+  }
+  const RouteTable table(config);
+  routes::LookUp look_up;
+  look_up.number = number;
+  if (!question.tenant_name.empty()) look_up.tenant = index_of(config.tenants, question.tenant_name, "tenant");
+  look_up.traffic_class = question.class_name.empty()
+                              ? table.class_of(number, look_up.tenant)
+                              : index_of(config.settings.classes, question.class_name, "class");
+  look_up.minute_of_week = question.minute_of_week.value_or(0);
+  std::string out = "number " + number + "\n";
+  out += "class " + config.settings.classes[look_up.traffic_class].name + " (" +
+         class_reason(config, question, look_up.tenant) + ")\n";
+  out += "tenant " + (look_up.tenant == any ? "none" : config.tenants[look_up.tenant].name) + "\n";
+  const auto to = std::min<int>(look_up.minute_of_week + 1, units::minutes_a_week);
+  out += "time " + units::week_text({{look_up.minute_of_week, static_cast<std::uint16_t>(to)}}).substr(0, 9) + "\n";
+  const Route* taken = nullptr;
+  for (const auto& [route, fit] : table.explain(look_up)) {
+    const auto conditions = conditions_text(config, *route);
+    out += "route for " + numbers_text(route->prefix) + (conditions.empty() ? "" : ", " + conditions) + " at " +
+           where_text(config, route->where) + ": " + fit_text(fit) + "\n";
+    if (fit == RouteTable::Fit::taken) taken = route;
+  }
+  if (taken == nullptr) return out + "no route is taken: the look-up is refused\n";
+  const auto& targets = config.target_lists[taken->targets];
+  out += "goes " + targets_text(config, targets) + "\n";
+  for (const auto& each : targets) out += pool_text(config.pools[each.pool], config) + "\n";
+  const auto& policy = config.policies[taken->policy];
+  out += "policy " + policy.name + " at " + where_text(config, policy.where) + ": deadline " +
+         units::duration_text(config.deadline_ms(policy, look_up.traffic_class)) + ", " +
+         std::to_string(policy.attempts) + " attempts, wait " + units::duration_text(policy.retry_wait_ms) +
+         " between them\n";
+  return out;
+}
+
+std::string notes_text(const std::vector<Note>& notes) {
+  std::size_t width = 0;
+  for (const auto& each : notes) width = std::max(width, std::min<std::size_t>(60, each.key.size() + each.value.size() + 3));
+  std::string out;
+  for (const auto& each : notes) {
+    auto line = each.key + " = " + (each.value.empty() ? "none" : each.value);
+    if (line.size() < width) line.resize(width, ' ');
+    out += line + "  # " + each.origin + "\n";
+  }
+  return out;
+}
+
+}  // namespace heathturn
--- /dev/null
+++ b/src/config/units.cpp
@@ -0,0 +1,252 @@
+#include "config/units.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <ctime>
+#include <string_view>
+
+namespace heathturn::units {
+namespace {
+
+struct Unit {
+  std::string_view name;
+  double factor;
+};
+constexpr std::array<Unit, 5> duration_units{{{"us", 1e-3}, {"ms", 1}, {"s", 1e3}, {"m", 6e4}, {"h", 3.6e6}}};
+constexpr std::array<Unit, 7> size_units{{{"B", 1},
+                                          {"KiB", 1024.0},
+                                          {"MiB", 1048576.0},
+                                          {"GiB", 1073741824.0},
+                                          {"kB", 1e3},
+                                          {"MB", 1e6},
+                                          {"GB", 1e9}}};
+constexpr std::array<Unit, 3> rate_units{{{"/s", 1}, {"/m", 1.0 / 60}, {"/h", 1.0 / 3600}}};
+constexpr std::array<std::string_view, 7> days = {"Mon", "Tue", "Wed", "Thu", "Fri", "Sat", "Sun"};
+constexpr int minutes_a_day = 24 * 60;
+
+template <typename Value>
+Parsed<Value> wrong(std::string fault) {
+  return {std::nullopt, std::move(fault)};
+}
+
+/// A number without a sign, and the text behind it.
+std::optional<std::pair<double, std::string_view>> leading_number(std::string_view text) {
+  if (text.empty() || !(text.front() >= '0' && text.front() <= '9')) return std::nullopt;
+  double value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+  if (error != std::errc{} || !std::isfinite(value)) return std::nullopt;
+  return std::pair(value, text.substr(static_cast<std::size_t>(end - text.data())));
+}
+
+template <std::size_t count>
+Parsed<double> with_unit(const std::string& text, const std::array<Unit, count>& units) {
+  if (!text.empty() && text.front() == '-') return wrong<double>("is negative");
+  const auto parts = leading_number(text);
+  if (!parts) return wrong<double>("is no number with a unit");
+  const auto [value, unit] = *parts;
+  if (unit.empty()) return wrong<double>("has no unit");
+  for (const auto& each : units) {
+    if (each.name == unit) return {value * each.factor, ""};
+  }
+  return wrong<double>("has the unknown unit \"" + std::string(unit) + "\"");
+}
+
+std::string_view trimmed(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
+  return text;
+}
+
+/// Cuts off and returns what stands before the separator; all of it when there is none.
+std::string_view next_part(std::string_view& text, char separator) {
+  const auto at = std::min(text.find(separator), text.size());
+  const auto part = text.substr(0, at);
+  text.remove_prefix(std::min(text.size(), at + 1));
+  return part;
+}
+
+std::optional<int> day_of(std::string_view text) {
+  const auto it = std::find(days.begin(), days.end(), text);
+  return it == days.end() ? std::nullopt : std::optional(static_cast<int>(it - days.begin()));
+}
+
+/// "08:30" in minutes; up to "24:00".
+std::optional<int> clock_of(std::string_view text) {
+  const auto digit = [&text](std::size_t at) { return text[at] >= '0' && text[at] <= '9'; };
+  if (text.size() != 5 || text[2] != ':' || !digit(0) || !digit(1) || !digit(3) || !digit(4)) return std::nullopt;
+  const int hours = (text[0] - '0') * 10 + (text[1] - '0');
+  const int minutes = (text[3] - '0') * 10 + (text[4] - '0');
+  if (minutes > 59 || hours * 60 + minutes > minutes_a_day) return std::nullopt;
+  return hours * 60 + minutes;
+}
+
+void add_span(std::vector<WeekSpan>& out, int from, int to) {
+  out.push_back({static_cast<std::uint16_t>(from), static_cast<std::uint16_t>(to)});
+}
+
+/// "Mon-Fri 08:00-18:00", "Sat", "22:00-06:00" (each day); a time up to an earlier one ends on the next day.
+std::string take_spans(std::string_view part, std::vector<WeekSpan>& out) {
+  int first = 0, last = 6, from = 0, to = minutes_a_day;
+  auto rest = part;
+  if (const auto word = next_part(rest, ' '); !word.empty() && !(word.front() >= '0' && word.front() <= '9')) {
+    auto ends = word;
+    const auto begin = day_of(next_part(ends, '-'));
+    const auto end = ends.empty() ? begin : day_of(ends);
+    if (!begin || !end) return "has the unknown day \"" + std::string(word) + "\"";
+    first = *begin;
+    last = *end;
+    rest = trimmed(rest);
+  } else {
+    rest = part;
+  }
+  if (!rest.empty()) {
+    auto ends = rest;
+    const auto begin = clock_of(next_part(ends, '-'));
+    const auto end = clock_of(ends);
+    if (!begin || !end || *begin == *end || *begin == minutes_a_day) {
+      return "has the unusable time \"" + std::string(rest) + "\"";
+    }
+    from = *begin;
+    to = *end;
+  }
+  for (int day = first;; day = (day + 1) % 7) {
+    const int start = day * minutes_a_day;
+    if (to > from) {
+      add_span(out, start + from, start + to);
+    } else {
+      const int next = (day + 1) % 7 * minutes_a_day;
+      add_span(out, start + from, start + minutes_a_day);
+      if (to > 0) add_span(out, next, next + to);
+    }
+    if (day == last) break;
+  }
+  return "";
+}
+
+std::string clock_text(int minute) {
+  std::array<char, 8> out{};
+  std::snprintf(out.data(), out.size(), "%02d:%02d", minute / 60 % 100, minute % 60);
+  return out.data();
+}
+
+}  // namespace
+
+Parsed<double> duration(const std::string& text) { return with_unit(text, duration_units); }
+Parsed<double> size(const std::string& text) { return with_unit(text, size_units); }
+Parsed<double> rate(const std::string& text) { return with_unit(text, rate_units); }
+
+Parsed<double> share(const std::string& text) {
+  if (!text.empty() && text.front() == '-') return wrong<double>("is negative");
+  const auto parts = leading_number(text);
+  if (!parts || (!parts->second.empty() && parts->second != "%")) return wrong<double>("is no share");
+  const bool percent = !parts->second.empty();
+  // "35" may be meant as 35% or as 35 times the whole.
+  if (!percent && parts->first > 1) return wrong<double>("is above 1 and has no %");
+  const double value = percent ? parts->first / 100 : parts->first;
+  if (value > 1) return wrong<double>("is above 100%");
+  return {value, ""};
+}
+
+Parsed<std::vector<WeekSpan>> week_spans(const std::string& text) {
+  std::vector<WeekSpan> spans;
+  std::string_view rest = text;
+  do {
+    const auto part = trimmed(next_part(rest, ','));
+    if (part.empty()) return wrong<std::vector<WeekSpan>>("has an empty part");
+    if (auto fault = take_spans(part, spans); !fault.empty()) {
+      return wrong<std::vector<WeekSpan>>(std::move(fault));
+    }
+  } while (!rest.empty());
+  std::sort(spans.begin(), spans.end());
+  std::vector<WeekSpan> joined;
+  for (const auto& span : spans) {
+    if (!joined.empty() && span.from <= joined.back().to) {
+      joined.back().to = std::max(joined.back().to, span.to);
+    } else {
+      joined.push_back(span);
+    }
+  }
+  return {std::move(joined), ""};
+}
+
+std::string week_text(const std::vector<WeekSpan>& spans) {
+  std::string out;
+  for (const auto& span : spans) {
+    for (int at = span.from; at < span.to;) {
+      const int day = at / minutes_a_day, start = day * minutes_a_day;
+      const int end = std::min<int>(span.to, start + minutes_a_day);
+      out += (out.empty() ? "" : ", ") + std::string(days[static_cast<std::size_t>(day)]);
+      if (at != start || end != start + minutes_a_day) out += " " + clock_text(at - start) + "-" + clock_text(end - start);
+      at = end;
+    }
+  }
+  return out;
+}
+
+Parsed<TimeZone> time_zone(const std::string& text) {
+  if (text == "utc") return {TimeZone{}, ""};
+  if (text == "local") return {TimeZone{true, 0}, ""};
+  if (text.size() == 6 && (text[0] == '+' || text[0] == '-')) {
+    const auto minutes = clock_of(std::string_view(text).substr(1));
+    if (minutes && *minutes <= 14 * 60) return {TimeZone{false, text[0] == '-' ? -*minutes : *minutes}, ""};
+  }
+  return wrong<TimeZone>("is no time zone");
+}
+
+std::string zone_text(const TimeZone& zone) {
+  if (zone.local) return "local";
+  if (zone.offset_minutes == 0) return "utc";
+  return (zone.offset_minutes < 0 ? "-" : "+") + clock_text(std::abs(zone.offset_minutes));
+}
+
+std::uint16_t minute_of_week(double unix_ms, const TimeZone& zone) {
+  const auto seconds = static_cast<std::time_t>(std::floor(unix_ms / 1000));
+  if (zone.local) {
+    std::tm parts{};
+    localtime_r(&seconds, &parts);
+    const int day = (parts.tm_wday + 6) % 7;
+    return static_cast<std::uint16_t>(day * minutes_a_day + parts.tm_hour * 60 + parts.tm_min);
+  }
+  // The epoch was a Thursday.
+  const auto minutes = static_cast<std::int64_t>(std::floor(static_cast<double>(seconds) / 60)) +
+                       zone.offset_minutes + 3 * minutes_a_day;
+  return static_cast<std::uint16_t>(((minutes % minutes_a_week) + minutes_a_week) % minutes_a_week);
+}
+
+std::string number_text(double number) {
+  std::array<char, 40> buffer{};
+  const double rounded = std::round(number * 1e6) / 1e6;
+  const auto end =
+      std::to_chars(buffer.data(), buffer.data() + buffer.size(), rounded, std::chars_format::fixed).ptr;
+  return {buffer.data(), end};
+}
+
+std::string duration_text(double ms) {
+  constexpr std::array<Unit, 3> shown{{{"m", 6e4}, {"s", 1e3}, {"ms", 1}}};
+  for (const auto& unit : shown) {
+    const double value = ms / unit.factor;
+    const bool exact = std::abs(value * 1000 - std::round(value * 1000)) < 1e-6;
+    if (value >= 1 && exact && (unit.name != "m" || value == std::floor(value))) {
+      return number_text(value) + std::string(unit.name);
+    }
+  }
+  return number_text(ms) + "ms";
+}
+
+std::string share_text(double share) { return number_text(share * 100) + "%"; }
+
+std::string rate_text(double a_second) {
+  constexpr std::array<std::string_view, 2> slower = {"/m", "/h"};
+  if (a_second == std::floor(a_second)) return number_text(a_second) + "/s";
+  double value = a_second;
+  for (const auto unit : slower) {
+    value *= 60;
+    if (std::abs(value - std::round(value)) < 1e-6) return number_text(std::round(value)) + std::string(unit);
+  }
+  return number_text(a_second) + "/s";
+}
+
+}  // namespace heathturn::units
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -18,7 +18,7 @@
 Router::Router(Clock& clock, Deadlines& deadlines, double release_wait_ms, Decide decide)
     : clock_(clock),
       deadlines_(deadlines),
-      log_([](const std::string&) {}),
+      log_([](LogLevel, const char*, const std::vector<LogField>&) {}),
       decide_(std::move(decide)),
       release_wait_ms_(release_wait_ms) {}
 
@@ -54,6 +54,10 @@
   call.redialled = request.redialled;
   call.cut_before = request.cut_before;
   call.number_called = request.number_called;
+  call.routed = request.routed;
+  call.alternates = request.alternates;
+  call.attempt_limit = request.most_attempts;
+  call.retry_wait = to_duration(request.retry_wait_ms);
   const double left = std::max(0.0, request.left_ms - answer_margin_ms);
   call.time_left = to_duration(left);
   Open open;
@@ -136,7 +140,15 @@
   if (open == nullptr || open->answered) return;
   if (open->attempt != no_handle) {
     // Rule: never two attempts out.
-    log_("core: second concurrent attempt suppressed");
+    log_(LogLevel::warn, "attempt_suppressed", {{"cause", "another_is_out"}});
+    return;
+  }
+  const auto asked = open->request.most_attempts;
+  if (open->attempts >= (asked == 0 ? most_attempts_ever : std::min(asked, most_attempts_ever))) {
+    // Rule: at most so many attempts. The caller is told at once, and the module that this one never left.
+    log_(LogLevel::warn, "attempt_suppressed", {{"cause", "limit"}});
+    conclude(handle, false, 0);
+    feed(CallerLeft{CallId{handle}});
     return;
   }
   const double now = clock_.now();
@@ -150,7 +162,7 @@
   const auto known = exchanges_.find(action.exchange);
   if (known == exchanges_.end() || known->second.state != ExchangeState::ready) {
     // Rule: nothing new to a converter that drains or is gone.
-    log_("core: set-up to a converter not in service suppressed");
+    log_(LogLevel::warn, "attempt_suppressed", {{"cause", "not_in_service"}});
     finish_attempt(id, {.result = Result::not_sent});
     return;
   }
@@ -165,7 +177,7 @@
   });
   if (now < open->not_before) {
     // Rule: the release is awaited after a time-out, a reset or a cancel.
-    log_("core: attempt held until the release wait is over");
+    log_(LogLevel::info, "attempt_held", {{"cause", "release_wait"}});
     deadlines_.set(open->not_before, [this, id] { depart(id); });
     return;
   }
@@ -206,7 +218,7 @@
   deadlines_.set(to_ms(action.due) + 0.001, [this, token = action.token] { feed(TimerDue{token}); });
 }
 void Router::act(const Probe& action) { carrier_->probe(action.exchange); }
-void Router::act(const LogLine& action) { log_("module: " + action.text); }
+void Router::act(const LogLine& action) { log_(LogLevel::info, "module", {{"text", action.text}}); }
 
 // ---- Carriers -----------------------------------------------------------------------------------------
 
@@ -289,7 +301,9 @@
   if (outcome.result == Result::timed_out || outcome.result == Result::reset ||
       outcome.result == Result::cancelled) {
     // The same clock reading as the module's, which counts its own wait from this event.
-    open->not_before = now + release_wait_ms_;
+    open->not_before = now + std::max(release_wait_ms_, open->request.retry_wait_ms);
+  } else {
+    open->not_before = std::max(open->not_before, now + open->request.retry_wait_ms);
   }
   drop(handle);
   feed(event);
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -12,6 +12,7 @@
 #include "core/clock.hpp"
 #include "core/deadlines.hpp"
 #include "core/slots.hpp"
+#include "log/event.hpp"
 #include "maddershed/call_controller.hpp"
 
 namespace heathturn {
@@ -29,7 +30,11 @@
   bool redialled = false;
   bool cut_before = false;
   std::uint64_t number_called = 0;
-  std::string name;        ///< its id on the wire
+  bool routed = false;  ///< may go to `destination` and `alternates` alone
+  std::vector<maddershed::ExchangeNumber> alternates{};  ///< in order of preference
+  std::uint32_t most_attempts = 0;                       ///< 0: as the settings say
+  double retry_wait_ms = 0;  ///< before another attempt, however the one before ended
+  std::string name;          ///< its id on the wire
   std::string class_name;  ///< as told
   std::string key;
   std::string body;
@@ -80,7 +85,7 @@
   /// With another decider than the module: the rules hold for any.
   Router(Clock& clock, Deadlines& deadlines, double release_wait_ms, Decide decide);
   void set_carrier(Carrier& carrier) { carrier_ = &carrier; }
-  void set_log(std::function<void(const std::string&)> log) { log_ = std::move(log); }
+  void set_log(LogSink log) { log_ = std::move(log); }
   void start();
 
   // from the fronts
@@ -149,7 +154,7 @@
   Clock& clock_;
   Deadlines& deadlines_;
   Carrier* carrier_ = nullptr;
-  std::function<void(const std::string&)> log_;
+  LogSink log_;
   Decide decide_;
   double release_wait_ms_;
   SlotTable<Open> requests_;
@@ -162,6 +167,8 @@
   Counts counts_;
 };
 
+/// Rule: no request has more attempts, whatever the module and the settings say.
+inline constexpr std::uint32_t most_attempts_ever = 6;
 /// On sockets every time limit of the rules is longer by this.
 inline constexpr double socket_slack_ms = 50;
 /// The final answer leaves so long before the caller gives up.
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -439,7 +439,15 @@
 
   // ---- Route choice -----------------------------------------------------------------------------------
 
+  [[nodiscard]] std::uint32_t limit(const Call& call) const {
+    const auto own = call.offer.attempt_limit;
+    return own == 0 ? s_.attempt_limit : std::min(own, s_.attempt_limit);
+  }
   [[nodiscard]] bool skilled(const Call& call, ExchangeNumber number) const {
+    if (call.offer.routed) {
+      const auto& to = call.offer.alternates;
+      return number == call.offer.destination || std::find(to.begin(), to.end(), number) != to.end();
+    }
     const auto& pools = s_.classes[call.offer.traffic_class].skilled_pools;
     return !s_.pools || pools.empty() || std::find(pools.begin(), pools.end(), number) != pools.end();
   }
@@ -457,6 +465,13 @@
   FarExchange* choose_tandem(const Call& call) {
     FarExchange* chosen = nullptr;
     double weights = 0;
+    if (call.offer.routed) {  // the order of the route is the operator's
+      for (const auto number : call.offer.alternates) {
+        FarExchange* far = serving(number);
+        if (far != nullptr && tandem_shows_room(*far, call)) return far;
+      }
+      return nullptr;
+    }
     for (auto& [id, far] : far_) {
       if (!tandem_shows_room(far, call)) continue;
       if (s_.route_advice && far.entry.number == call.offer.tandem) return &far;
@@ -479,6 +494,9 @@
   /// Direct first, else one random tandem. False when there is no way just now.
   bool place(Call& call) {
     FarExchange* direct = serving(call.offer.destination);
+    // On a route the next in order takes the place of a first choice that has gone since.
+    for (std::size_t i = 0; direct == nullptr && i < call.offer.alternates.size(); ++i)
+      direct = serving(call.offer.alternates[i]);
     if (direct == nullptr || now_ < own_down_until_) return false;
     // A subscriber of an exchange whose controller is away may ask here for this very exchange: it is sent
     // nothing from here, but a tandem may have a group to it.
@@ -489,7 +507,7 @@
         throttled_share(destination(call.offer.destination), worths_, call.kind, direct->f, now_) > 0) {
       return false;
     }
-    if (call.attempts >= s_.attempt_limit || now_ < call.not_before) return false;
+    if (call.attempts >= limit(call) || now_ < call.not_before) return false;
     const double share = window_share(call) * (direct->f < throttled_below ? pressed_window_share : 1);
     const bool direct_open = takes_set_up(*direct, share, call.offer.in_transit);
     if (!direct_open && !s_.pools) return false;  // whatever the way, it ends at this processor
@@ -575,7 +593,7 @@
   void proceed(Call& call) {
     if (now_ >= call.hold_until) return finish(call, true);
     if (place(call)) return release(call);
-    if (call.offer.in_transit || call.attempts >= s_.attempt_limit) return finish(call, true);
+    if (call.offer.in_transit || call.attempts >= limit(call)) return finish(call, true);
     if (!call.held) hold(call);
   }
   void pump(Destination& to) {
@@ -775,13 +793,18 @@
   void try_again(Call& call, const AttemptEnded& end) {
     const bool never_ran = end.result == Result::not_set_up || end.result == Result::not_sent ||
                            end.result == Result::connect_failed;
+    if (call.offer.retry_wait > Duration{0}) {
+      call.not_before = now_ + call.offer.retry_wait;
+      set_timer(call, call.not_before);
+    }
     if (never_ran) return proceed(call);
     call.may_have_run = true;
     if (end.cause == Cause::number_busy) return finish(call, true);
     if (end.result == Result::error && ++call.errors > errors_most) return finish(call, false);
     const auto& settings = s_.classes[call.offer.traffic_class];
     // Rule: the release is awaited, counted from the batch that told of the end.
-    if (end.result != Result::error) call.not_before = now_ + s_.release_wait + s_.step;
+    if (end.result != Result::error)
+      call.not_before = std::max(call.not_before, now_ + s_.release_wait + s_.step);
     const Time latest = std::min(call.arrived + settings.aim, call.deadline - 2 * s_.step);
     if (settings.effect != Effect::repeatable || call.not_before >= latest || call.offer.in_transit) {
       return finish(call, false);
--- a/src/enum/enum_service.hpp
+++ b/src/enum/enum_service.hpp
@@ -1,42 +1,57 @@
 // The ENUM front and its upstreams round a core of their own.
 #pragma once
 
+#include <atomic>
 #include <memory>
 
+#include "config/site_diff.hpp"
 #include "enum/front.hpp"
 #include "enum/upstreams.hpp"
 #include "eureka/client.hpp"
 #include "program.hpp"
+#include "routes/selector.hpp"
 
 namespace heathturn {
 
 class EnumService : public Service {
  public:
-  /// `path`: where the file was read, for reload().
+  /// `path`: where the settings were read, for reload().
   EnumService(Program& program, EnumConfig config, std::string path, std::uint64_t seed);
   [[nodiscard]] const char* kind() const override { return "enum"; }
   void start() override;
-  void reload() override;
+  void reload(std::function<void(const std::string&)> done) override;
+  [[nodiscard]] bool working() const override { return loading_ != nullptr; }
   void close_door() override { front_.close_door(); }
   [[nodiscard]] Router& router() override { return router_; }
   [[nodiscard]] std::vector<ConverterView> converters() const override { return upstreams_.view(); }
-  [[nodiscard]] double longest_ms() const override { return config_.longest_deadline_ms; }
-  void leave() override {
-    if (eureka_) eureka_->deregister();
-  }
-  [[nodiscard]] bool leaving() const override { return eureka_ && eureka_->deregistering(); }
+  [[nodiscard]] double longest_ms() const override { return longest_ms_; }
+  void leave() override;
+  [[nodiscard]] bool leaving() const override;
 
  private:
-  void update(std::vector<Converter> list);
+  /// A version being read beside the loop: files may be large, and their disk slow.
+  struct Loading {
+    std::atomic<bool> done{false};
+    std::shared_ptr<const EnumConfig> config;
+    std::shared_ptr<routes::Selector::Prepared> prepared;
+    SiteDifference difference;
+    std::string fault;
+  };
+  void poll_loading(const std::function<void(const std::string&)>& done);
+  void take(Loading& loading);
+  void list_members();
 
   Program& program_;
-  EnumConfig config_;
+  std::shared_ptr<const EnumConfig> config_;
   std::string path_;
-  std::vector<Converter> registered_;  ///< the registry's list
   Router router_;
+  routes::Selector selector_;
   Upstreams upstreams_;
   EnumFront front_;
-  std::unique_ptr<EurekaClient> eureka_;
+  std::vector<std::unique_ptr<EurekaClient>> registries_;
+  std::shared_ptr<Loading> loading_;
+  bool load_again_ = false;  ///< asked for while one was under way
+  double longest_ms_ = 0;
 };
 
 }  // namespace heathturn
--- a/src/enum/front.cpp
+++ b/src/enum/front.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <stdexcept>
 
 #include "net/framing.hpp"
@@ -33,23 +34,24 @@
 }  // namespace
 
 EnumFront::EnumFront(Clock& clock, Deadlines& deadlines, Connections& net, Datagrams& datagrams,
-                     Router& router, const EnumConfig& config)
+                     Router& router, routes::Selector& selector, std::shared_ptr<const EnumConfig> config)
     : clock_(clock),
       deadlines_(deadlines),
       net_(net),
       datagrams_(datagrams),
       router_(router),
-      config_(config) {}
+      selector_(selector),
+      config_(std::move(config)) {}
 
 Address EnumFront::listen() {
   for (int tries = 1;; ++tries) {
-    socket_ = datagrams_.bind(config_.listen, *this);
+    socket_ = datagrams_.bind(config_->listen, *this);
     try {
       return net_.listen(datagrams_.address(socket_), *this, "resolver",
                          {.connections = most_connections, .requests = most_requests});
     } catch (const std::runtime_error&) {
       // Where the file leaves the port to the system, the one it gave for UDP may be taken for TCP.
-      if (config_.listen.port != 0 || tries == most_port_tries) throw;
+      if (config_->listen.port != 0 || tries == most_port_tries) throw;
       datagrams_.close(socket_);
     }
   }
@@ -117,19 +119,46 @@
   open_request(client, std::move(*query));
 }
 
+std::uint16_t EnumFront::minute_of_week() {
+  constexpr double minute_ms = 60000;
+  const double now = clock_.now();
+  if (now >= minute_until_) {
+    minute_ = units::minute_of_week(now, config_->zone);
+    minute_until_ = (std::floor(now / minute_ms) + 1) * minute_ms;
+  }
+  return minute_;
+}
+
 void EnumFront::open_request(const Client& client, dns::Message query) {
-  const auto number = dns::number_of(query.question->name, config_.suffix);
-  const auto* range = number ? config_.range_of(*number) : nullptr;
-  if (range == nullptr || asked_.size() >= most_open) return reply(client, query, dns::rcode::refused);
+  const auto number = dns::number_of(query.question->name, config_->suffix);
+  if (!number || asked_.size() >= most_open) return reply(client, query, dns::rcode::refused);
   Key key{client, query.id, query.question->name};
   // A client that asks again while its request is open gets the one answer that is under way.
   if (open_.contains(key)) return;
+  const auto from = client.connection == no_handle ? client.address : net_.peer(client.connection);
+  routes::LookUp look_up;
+  look_up.number = *number;
+  look_up.tenant = selector_.table().tenant_of(from.host);
+  look_up.traffic_class = selector_.table().class_of(*number, look_up.tenant);
+  look_up.minute_of_week = minute_of_week();
+  auto choice = selector_.choose(look_up);
+  if (!choice) return reply(client, query, dns::rcode::refused);
+  // Nothing is in service where the number leads: said at once, not when the client's time is up.
+  if (choice->candidates.empty()) return reply(client, query, dns::rcode::serv_fail);
+  const auto& policy = config_->policies[choice->policy];
+  auto gate = selector_.gate(choice->policy);
+  if (gate->enter(clock_.now()) != routes::Gate::Verdict::in) return reply(client, query, dns::rcode::refused);
+  const auto& kind = config_->settings.classes[look_up.traffic_class];
   Request request;
-  request.traffic_class = range->traffic_class;
-  request.circuits = config_.settings.classes[range->traffic_class].circuits;
-  request.class_name = config_.settings.classes[range->traffic_class].name;
-  request.left_ms = range->deadline_ms;
-  request.destination = range->destination;
+  request.traffic_class = look_up.traffic_class;
+  request.circuits = kind.circuits;
+  request.class_name = kind.name;
+  request.left_ms = config_->deadline_ms(policy, look_up.traffic_class);
+  request.destination = choice->candidates.front();
+  request.routed = true;
+  request.alternates.assign(choice->candidates.begin() + 1, choice->candidates.end());
+  request.most_attempts = policy.attempts;
+  request.retry_wait_ms = policy.retry_wait_ms;
   request.name = dns::name_to_text(query.question->name);
   request.key = *number;
   std::from_chars(number->data(), number->data() + number->size(), request.number_called);
@@ -142,11 +171,12 @@
   asked.edns->dnssec_ok = query.edns && query.edns->dnssec_ok;
   request.body = dns::write_message(asked);
   if (client.connection != no_handle && !net_.begin_request(client.connection)) {
+    gate->leave();
     return reply(client, query, dns::rcode::refused);
   }
   router_.offer(*this, std::move(request), [&](Handle handle) {
     open_[key] = handle;
-    asked_[handle] = {client, std::move(query), key};
+    asked_[handle] = {client, std::move(query), key, std::move(gate)};
   });
 }
 
@@ -158,6 +188,7 @@
   auto asked = std::move(it->second);
   asked_.erase(it);
   open_.erase(asked.key);
+  asked.gate->leave();
   if (asked.client.connection != no_handle) net_.end_request(asked.client.connection);
   return asked;
 }
--- a/src/enum/front.hpp
+++ b/src/enum/front.hpp
@@ -11,13 +11,16 @@
 #include "enum/dns.hpp"
 #include "net/connections.hpp"
 #include "net/datagrams.hpp"
+#include "routes/selector.hpp"
 
 namespace heathturn {
 
 class EnumFront : public Front, public ConnectionUser, public DatagramUser {
  public:
   EnumFront(Clock& clock, Deadlines& deadlines, Connections& net, Datagrams& datagrams, Router& router,
-            const EnumConfig& config);
+            routes::Selector& selector, std::shared_ptr<const EnumConfig> config);
+  /// Takes look-ups by other settings from now on; those open go on as they began.
+  void use(std::shared_ptr<const EnumConfig> config) { config_ = std::move(config); }
   /// Returns where it listens.
   Address listen();
   void close_door() { door_closed_ = true; }
@@ -44,9 +47,11 @@
     Client client;
     dns::Message query;
     Key key;
+    std::shared_ptr<routes::Gate> gate;  ///< of the policy that it began under
   };
   void on_query(const Client& client, const std::string& bytes);
   void open_request(const Client& client, dns::Message query);
+  [[nodiscard]] std::uint16_t minute_of_week();
   void reply(const Client& client, const dns::Message& query, std::uint16_t rcode);
   void write(const Client& client, const dns::Message& query, dns::Message answer);
   /// Takes the request out of the tables; nothing when its client has left.
@@ -58,12 +63,15 @@
   Connections& net_;
   Datagrams& datagrams_;
   Router& router_;
-  const EnumConfig& config_;
+  routes::Selector& selector_;
+  std::shared_ptr<const EnumConfig> config_;
   Handle socket_ = no_handle;
   std::unordered_map<Handle, Asked> asked_;
   std::map<Key, Handle> open_;
   std::map<Handle, Deadlines::Key> idle_;  ///< by connection
   bool door_closed_ = false;
+  double minute_until_ = 0;  ///< the minute of the week as last worked out holds until then
+  std::uint16_t minute_ = 0;
 };
 
 }  // namespace heathturn
--- a/src/enum/upstreams.cpp
+++ b/src/enum/upstreams.cpp
@@ -11,23 +11,50 @@
 Upstreams::Upstreams(Clock& clock, Connections& net, Datagrams& datagrams, Router& router)
     : clock_(clock), net_(net), datagrams_(datagrams), router_(router) {}
 
+/// A server that has gone for good and comes back is a new one to the module.
 ExchangeId Upstreams::id_of(const std::string& name) {
-  return ids_.try_emplace(name, ExchangeId{static_cast<std::uint32_t>(ids_.size() + 1)}).first->second;
+  const auto [it, fresh] = ids_.try_emplace(name);
+  if (fresh) it->second = ExchangeId{++last_id_};
+  return it->second;
 }
 
-void Upstreams::update(std::vector<Converter> list, bool whole) {
+void Upstreams::update(const std::vector<Listed>& list, std::vector<std::uint32_t> pool_limits) {
+  const bool other_pools = pool_limits.size() != pools_.size() ||
+                           !std::equal(pools_.begin(), pools_.end(), pool_limits.begin(),
+                                       [](const PoolRoom& room, std::uint32_t most) { return room.most == most; });
+  if (other_pools) {
+    pools_.clear();
+    for (const auto most : pool_limits) pools_.push_back({most, 0});
+    ++generation_;
+  }
   DirectoryUpdate update;
-  update.kind = whole ? DirectoryUpdate::Kind::whole : DirectoryUpdate::Kind::changes;
-  if (whole) {
-    for (auto& [id, server] : servers_) server.converter.entry.state = ExchangeState::gone;
+  update.kind = DirectoryUpdate::Kind::whole;
+  for (auto& [id, server] : servers_) {
+    server.converter.entry.state = ExchangeState::gone;
+    server.listed = false;
   }
-  for (auto& converter : list) {
+  for (const auto& each : list) {
+    auto converter = each.converter;
     converter.entry.exchange = id_of(converter.name);
     update.entries.push_back(converter.entry);
-    servers_[converter.entry.exchange].converter = converter;
+    auto& server = servers_[converter.entry.exchange];
+    server.converter = std::move(converter);
+    server.pool = each.pool;
+    server.listed = true;
   }
+  forget_gone();
   router_.directory(update);
-  for (const auto& converter : list) tell_group(converter.entry.exchange);
+  for (const auto& entry : update.entries) tell_group(entry.exchange);
+}
+
+/// Nothing is kept of a server that has gone, once its last look-up is over: names may be new all day long.
+void Upstreams::forget_gone() {
+  std::erase_if(servers_, [this](const auto& each) {
+    const auto& server = each.second;
+    if (server.listed || server.out > 0) return false;
+    ids_.erase(server.converter.name);
+    return true;
+  });
 }
 
 std::vector<ConverterView> Upstreams::view() const {
@@ -36,18 +63,29 @@
   return out;
 }
 
+/// What a server may still be sent: its own limit, and what its pool leaves.
+std::uint32_t Upstreams::room_at(const Server& server) const {
+  const auto own = server.converter.circuits - std::min(server.converter.circuits, server.out);
+  if (server.pool >= pools_.size() || pools_[server.pool].most == 0) return own;
+  const auto& pool = pools_[server.pool];
+  return std::min(own, pool.most - std::min(pool.most, pool.out));
+}
+
 /// The group towards a server is what it is allowed to have in work for us at once.
 void Upstreams::tell_group(ExchangeId exchange) {
-  const auto& server = servers_[exchange];
+  const auto it = servers_.find(exchange);
+  if (it == servers_.end()) return;
   LoadReport report;
-  report.total_circuits = server.converter.circuits;
-  report.free_circuits = std::max(0.0, static_cast<double>(server.converter.circuits) - server.out);
+  report.total_circuits = it->second.converter.circuits;
+  report.free_circuits = room_at(it->second);
   router_.report(exchange, report);
 }
 
 void Upstreams::send(Handle attempt, ExchangeId exchange, const Request& request, double left_ms) {
-  auto& server = servers_[exchange];
-  if (server.out >= server.converter.circuits) {
+  const auto found = servers_.find(exchange);
+  if (found == servers_.end()) return router_.ended(attempt, {.result = Result::not_sent});
+  auto& server = found->second;
+  if (room_at(server) == 0) {
     return router_.ended(attempt, {.result = Result::not_sent, .cause = Cause::no_circuit});
   }
   const auto asked = dns::read_message(request.body);
@@ -55,6 +93,8 @@
   if (!asked || socket == no_handle) return router_.ended(attempt, {.result = Result::connect_failed});
   LookUp look_up;
   look_up.exchange = exchange;
+  look_up.pool = server.pool;
+  look_up.generation = generation_;
   look_up.query = *asked;
   look_up.query.id = unpredictable();
   look_up.socket = socket;
@@ -63,6 +103,7 @@
   look_ups_[attempt] = std::move(look_up);
   by_socket_[socket] = attempt;
   ++server.out;
+  if (server.pool < pools_.size()) ++pools_[server.pool].out;
   if (!datagrams_.send(socket, bytes)) return end(attempt, Result::connect_failed);
   tell_group(exchange);
 }
@@ -78,7 +119,9 @@
     by_connection_.erase(look_up.connection);
     net_.close(look_up.connection, reason::finished);
   }
-  --servers_[look_up.exchange].out;
+  if (look_up.generation == generation_ && look_up.pool < pools_.size()) --pools_[look_up.pool].out;
+  const auto server = servers_.find(look_up.exchange);
+  if (server != servers_.end() && --server->second.out == 0 && !server->second.listed) forget_gone();
 }
 
 void Upstreams::give_up(Handle attempt) {
@@ -116,8 +159,10 @@
   if (header->truncated) {
     if (over_tcp) return end(attempt, Result::error);
     const double left = std::max(1.0, look_up.due - clock_.now());
+    const auto server = servers_.find(look_up.exchange);
+    if (server == servers_.end()) return end(attempt, Result::error);
     const auto connection =
-        net_.connect(servers_[look_up.exchange].converter.address, *this, "upstream", left);
+        net_.connect(server->second.converter.address, *this, "upstream", left);
     look_up.connection = connection;
     by_connection_[connection] = attempt;
     return;
--- a/src/enum/upstreams.hpp
+++ b/src/enum/upstreams.hpp
@@ -18,8 +18,13 @@
 class Upstreams : public Carrier, public ConnectionUser, public DatagramUser {
  public:
   Upstreams(Clock& clock, Connections& net, Datagrams& datagrams, Router& router);
-  /// Servers that the list names, or names anew. `whole`: those it leaves out are gone.
-  void update(std::vector<Converter> list, bool whole);
+  /// The whole list: those it leaves out are gone.
+  /// `pool_limits`: look-ups out at once in each pool, 0 for no limit; each server is told with its pool.
+  struct Listed {
+    Converter converter;
+    std::uint32_t pool = 0;
+  };
+  void update(const std::vector<Listed>& list, std::vector<std::uint32_t> pool_limits);
   [[nodiscard]] std::vector<ConverterView> view() const;
 
   void send(Handle attempt, ExchangeId exchange, const Request& request, double left_ms) override;
@@ -36,17 +41,27 @@
  private:
   struct Server {
     Converter converter;
+    std::uint32_t pool = 0;
+    std::uint32_t out = 0;
+    bool listed = false;
+  };
+  struct PoolRoom {
+    std::uint32_t most = 0;  ///< 0: no limit
     std::uint32_t out = 0;
   };
   struct LookUp {
     ExchangeId exchange;
+    std::uint32_t pool = 0;  ///< whose room it takes
     dns::Message query;
     Handle socket = no_handle;
     Handle connection = no_handle;
+    std::uint64_t generation = 0;
     double due = 0;
   };
   ExchangeId id_of(const std::string& name);
   void tell_group(ExchangeId exchange);
+  [[nodiscard]] std::uint32_t room_at(const Server& server) const;
+  void forget_gone();
   void forget(Handle attempt);
   void end(Handle attempt, maddershed::Result result, maddershed::Cause cause = maddershed::Cause::none);
   void take_answer(Handle attempt, const std::string& bytes, bool over_tcp);
@@ -58,7 +73,10 @@
   Router& router_;
   std::random_device random_;  // the system's own source, which no answer seen before foretells
   std::map<std::string, ExchangeId> ids_;
+  std::uint32_t last_id_ = 0;
   std::map<ExchangeId, Server> servers_;
+  std::vector<PoolRoom> pools_;
+  std::uint64_t generation_ = 0;  ///< of the pools: what began before a reload takes no room after it
   std::unordered_map<Handle, LookUp> look_ups_;   ///< by attempt
   std::unordered_map<Handle, Handle> by_socket_;  ///< attempts
   std::unordered_map<Handle, Handle> by_connection_;
--- a/src/eureka/client.cpp
+++ b/src/eureka/client.cpp
@@ -24,7 +24,7 @@
 }  // namespace
 
 EurekaClient::EurekaClient(Clock& clock, Deadlines& deadlines, event_base* base, EurekaConfig config,
-                           std::function<void(const std::string&)> log, Sink sink)
+                           LogSink log, Sink sink)
     : clock_(clock),
       deadlines_(deadlines),
       base_(base),
@@ -122,13 +122,13 @@
       return fetch();
     }
   } catch (const InputError& error) {
-    if (!outage_) log_(std::string("eureka: the list stays as it was: ") + error.what());
+    if (!outage_) log_(LogLevel::warn, "registry_unusable", {{"registry", config_.name}, {"fault", error.what()}});
     outage_ = true;
   }
   if (heard) {
-    if (outage_) log_("eureka: the registry answers again");
+    if (outage_) log_(LogLevel::info, "registry_back", {{"registry", config_.name}});
     outage_ = false;
-    sink_(instances_.converters(config_.application));
+    sink_();
   }
   deadlines_.set(clock_.now() + config_.fetch_every_ms, [this] { fetch(); });
 }
@@ -140,7 +140,7 @@
           eureka_registration(config_.own_application, config_.own_instance, own_),
           [this](int status, const std::string&) {
             registered_ = status == 204 || status == 200;
-            if (!registered_) log_("eureka: registration failed, status " + std::to_string(status));
+            if (!registered_) log_(LogLevel::warn, "registration_failed", {{"registry", config_.name}, {"status", status}});
           });
 }
 
--- a/src/eureka/client.hpp
+++ b/src/eureka/client.hpp
@@ -11,20 +11,25 @@
 #include "core/clock.hpp"
 #include "core/deadlines.hpp"
 #include "eureka/instances.hpp"
+#include "log/event.hpp"
 
 namespace heathturn {
 
 class EurekaClient {
  public:
-  using Sink = std::function<void(std::vector<Converter>)>;  ///< is given the whole list
+  using Sink = std::function<void()>;  ///< the list has been heard anew
   EurekaClient(Clock& clock, Deadlines& deadlines, event_base* base, EurekaConfig config,
-               std::function<void(const std::string&)> log, Sink sink);
+               LogSink log, Sink sink);
   ~EurekaClient();
   EurekaClient(const EurekaClient&) = delete;
   EurekaClient& operator=(const EurekaClient&) = delete;
 
   /// `own`: where this program listens, for its registration.
   void start(const Address& own);
+  /// The instances of an application as last heard; those that cannot be used are left out.
+  [[nodiscard]] std::vector<Converter> instances(const std::string& application) const {
+    return instances_.converters(application);
+  }
   void deregister();
   [[nodiscard]] bool deregistering() const { return deregistering_; }
 
@@ -49,7 +54,7 @@
   Deadlines& deadlines_;
   event_base* base_;
   EurekaConfig config_;
-  std::function<void(const std::string&)> log_;
+  LogSink log_;
   Sink sink_;
   EurekaInstances instances_;
   std::list<Call> calls_;
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -45,7 +45,7 @@
 
 }  // namespace
 
-Connections::Connections(Clock& clock, Deadlines& deadlines, std::function<void(const std::string&)> log)
+Connections::Connections(Clock& clock, Deadlines& deadlines, LogSink log)
     : clock_(clock), deadlines_(deadlines), log_(std::move(log)), base_(make_base(), event_base_free) {}
 
 Connections::~Connections() {
@@ -115,7 +115,7 @@
   socklen_t length = sizeof bound;
   getsockname(evconnlistener_get_fd(handle), reinterpret_cast<sockaddr*>(&bound), &length);
   listeners_.back()->at = Address::from(bound);
-  log_(std::string("listening side=") + side + " at=" + Address::from(bound).text());
+  log_(LogLevel::info, "listening", {{"side", side}, {"at", Address::from(bound).text()}});
   return Address::from(bound);
 }
 
@@ -157,7 +157,7 @@
   // Guards against EMFILE: the listener would be ready again at once, and the loop would spin on it.
   evconnlistener_set_error_cb(handle, [](evconnlistener* at, void* context) {
     auto& self = *static_cast<Listener*>(context);
-    self.owner->log_(std::string("accept failed side=") + self.side + " error=" + std::strerror(errno));
+    self.owner->log_(LogLevel::warn, "accept_failed", {{"side", self.side}, {"error", std::strerror(errno)}});
     evconnlistener_disable(at);
     self.owner->deadlines_.set(self.owner->clock_.now() + accept_pause_ms,
                                [at] { evconnlistener_enable(at); });
@@ -173,7 +173,8 @@
   connection.connected = true;
   if (from->sa_family == AF_INET) {
     no_delay(socket);
-    connection.peer = Address::from(*reinterpret_cast<sockaddr_in*>(from)).text();
+    connection.address = Address::from(*reinterpret_cast<sockaddr_in*>(from));
+    connection.peer = connection.address.text();
   } else {
     connection.peer = "local";
   }
@@ -298,6 +299,11 @@
   return sum;
 }
 
+Address Connections::peer(Handle handle) {
+  const auto* connection = table_.find(handle);
+  return connection == nullptr ? Address{} : connection->address;
+}
+
 /// Every connection ends here, with its one line in the log.
 void Connections::drop(Handle handle, const char* why) {
   auto* connection = table_.find(handle);
@@ -305,8 +311,11 @@
   deadlines_.cancel(connection->timeout);
   if (connection->listener != nullptr) --connection->listener->open;
   auto* user = connection->user;
-  log_(std::string("connection ended side=") + connection->side + " peer=" + connection->peer + " reason=" +
-       why + " after_ms=" + std::to_string(static_cast<long long>(clock_.now() - connection->since)));
+  log_(LogLevel::info, "connection_ended",
+       {{"side", connection->side},
+        {"peer", connection->peer},
+        {"reason", why},
+        {"after_ms", static_cast<long long>(clock_.now() - connection->since)}});
   bufferevent_free(connection->stream);
   hooks_.erase(handle);
   table_.erase(handle);
--- a/src/net/connections.hpp
+++ b/src/net/connections.hpp
@@ -16,6 +16,7 @@
 #include "core/deadlines.hpp"
 #include "core/slots.hpp"
 #include "net/address.hpp"
+#include "log/event.hpp"
 #include "net/framing.hpp"
 
 namespace heathturn {
@@ -55,7 +56,7 @@
 
 class Connections {
  public:
-  Connections(Clock& clock, Deadlines& deadlines, std::function<void(const std::string&)> log);
+  Connections(Clock& clock, Deadlines& deadlines, LogSink log);
   ~Connections();
   Connections(const Connections&) = delete;
   Connections& operator=(const Connections&) = delete;
@@ -95,6 +96,8 @@
   /// Ends the connection once all that was written has left.
   void finish(Handle connection);
   [[nodiscard]] bool has(Handle connection) { return table_.find(connection) != nullptr; }
+  /// Where the peer is; nothing for a local one.
+  [[nodiscard]] Address peer(Handle connection);
   [[nodiscard]] std::size_t unsent();
   [[nodiscard]] std::size_t size() const { return table_.size(); }
 
@@ -114,6 +117,7 @@
     ConnectionUser* user = nullptr;
     const char* side = "";
     std::string peer;
+    Address address;
     double since = 0;
     double heard = 0;          ///< its last whole message
     std::size_t requests = 0;  ///< open ones
@@ -141,7 +145,7 @@
 
   Clock& clock_;
   Deadlines& deadlines_;
-  std::function<void(const std::string&)> log_;
+  LogSink log_;
   std::unique_ptr<event_base, void (*)(event_base*)> base_;
   SlotTable<Connection> table_;
   std::map<Handle, std::unique_ptr<Hook>> hooks_;
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-Datagrams::Datagrams(event_base* base, std::function<void(const std::string&)> log)
+Datagrams::Datagrams(event_base* base, LogSink log)
     : base_(base), log_(std::move(log)), buffer_(most_datagram, '\0') {}
 
 Datagrams::~Datagrams() {
@@ -64,7 +64,7 @@
   const auto address = to.to_sockaddr();
   if (descriptor < 0 ||
       ::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
-    log_("no socket towards " + to.text() + ": " + std::strerror(errno));
+    log_(LogLevel::warn, "no_socket", {{"to", to.text()}, {"error", std::strerror(errno)}});
     if (descriptor >= 0) ::close(descriptor);
     return no_handle;
   }
--- a/src/net/datagrams.hpp
+++ b/src/net/datagrams.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "core/slots.hpp"
+#include "log/event.hpp"
 #include "net/address.hpp"
 
 namespace heathturn {
@@ -24,7 +25,7 @@
 
 class Datagrams {
  public:
-  Datagrams(event_base* base, std::function<void(const std::string&)> log);
+  Datagrams(event_base* base, LogSink log);
   ~Datagrams();
   Datagrams(const Datagrams&) = delete;
   Datagrams& operator=(const Datagrams&) = delete;
@@ -54,7 +55,7 @@
   void receive(Handle socket);
 
   event_base* base_;
-  std::function<void(const std::string&)> log_;
+  LogSink log_;
   SlotTable<Socket> table_;
   std::map<Handle, std::unique_ptr<Hook>> hooks_;
   std::string buffer_;
--- a/src/platform/platform_service.cpp
+++ b/src/platform/platform_service.cpp
@@ -19,7 +19,7 @@
       callers_(program.clock(), program.deadlines(), program.net(), router_, config_) {
   program.net().set_most_unsent(config_.most_unsent);
   router_.set_carrier(converters_);
-  router_.set_log([&program](const std::string& text) { program.log(text); });
+  router_.set_log(program.log_sink());
   converters_.set_stray([this](const std::string& call, int why) { callers_.stray_over(call, why); });
   callers_.set_stray_release([this](const std::string& call) { converters_.release_anywhere(call); });
   callers_.set_knows_number([this](ExchangeNumber number) { return converters_.knows_number(number); });
@@ -43,12 +43,21 @@
   bus_->start();
 }
 
+void PlatformService::reload(std::function<void(const std::string&)> done) {
+  try {
+    read_again();
+  } catch (const std::exception& error) {
+    return done(error.what());
+  }
+  done("");
+}
+
 /// The bus, the limits, the tenants and time limits change at once. What the calls in work were decided by
 /// stays: the module's settings and the own address take a restart.
-void PlatformService::reload() {
+void PlatformService::read_again() {
   const auto fresh = parse_config(read_file(path_));
-  if (fresh.listen != config_.listen) program_.log("listen: a change takes a restart");
-  if (fresh.settings_text != config_.settings_text) program_.log("settings: a change takes a restart");
+  if (fresh.listen != config_.listen) program_.log(LogLevel::warn, "takes_restart", {{"front", kind()}, {"key", "listen"}});
+  if (fresh.settings_text != config_.settings_text) program_.log(LogLevel::warn, "takes_restart", {{"front", kind()}, {"key", "settings"}});
   config_.sockets = fresh.sockets;
   config_.memory_mb = fresh.memory_mb;
   config_.most_requests = fresh.most_requests;
--- a/src/platform/platform_service.hpp
+++ b/src/platform/platform_service.hpp
@@ -16,7 +16,7 @@
   PlatformService(Program& program, Config config, std::string path);
   [[nodiscard]] const char* kind() const override { return "platform"; }
   void start() override;
-  void reload() override;
+  void reload(std::function<void(const std::string&)> done) override;
   void close_door() override { callers_.close_door(); }
   [[nodiscard]] Router& router() override { return router_; }
   [[nodiscard]] std::vector<ConverterView> converters() const override { return converters_.view(); }
@@ -24,6 +24,7 @@
 
  private:
   void start_bus();
+  void read_again();
 
   Program& program_;
   Config config_;
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -1,7 +1,6 @@
 #include "program.hpp"
 
 #include <algorithm>
-#include <cstdio>
 
 namespace heathturn {
 namespace {
@@ -10,18 +9,29 @@
 constexpr double door_open_ms = 700;
 constexpr double last_poll_ms = 20;
 constexpr double arrive_ms = 100;
+constexpr double tell_dropped_ms = 200;
 
 }  // namespace
 
-Program::Program(std::string name)
-    : name_(std::move(name)),
-      net_(clock_, deadlines_, [this](const std::string& text) { log(text); }),
-      datagrams_(net_.base(), [this](const std::string& text) { log(text); }),
+Program::Program(EventLog& log)
+    : log_(log),
+      net_(clock_, deadlines_, log_sink()),
+      datagrams_(net_.base(), log_sink()),
       started_(clock_.now()) {}
 
-void Program::log(const std::string& text) {
-  std::printf("%.3f %s %s\n", clock_.now() / 1000, name_.c_str(), text.c_str());
-  std::fflush(stdout);
+LogSink Program::log_sink() {
+  return [this](LogLevel level, const char* event, const std::vector<LogField>& fields) { log(level, event, fields); };
+}
+
+void Program::log(LogLevel level, const char* event, const std::vector<LogField>& fields) {
+  log_.write(clock_.now(), level, event, fields);
+  if (!telling_dropped_ && log_.untold() > 0) tell_dropped();
+}
+
+/// Lines were lost to a slow reader: said once it reads on.
+void Program::tell_dropped() {
+  telling_dropped_ = !log_.tell_dropped(clock_.now());
+  if (telling_dropped_) deadlines_.set(clock_.now() + tell_dropped_ms, [this] { tell_dropped(); });
 }
 
 int Program::run() {
@@ -40,28 +50,33 @@
   }
   for (const auto& service : services_) service->start();
   net_.run();
-  log("stopped");
+  log(LogLevel::info, "stopped");
   return 0;
 }
 
 void Program::reload() {
   for (const auto& service : services_) {
-    try {
-      service->reload();
-      log(std::string("configuration read again front=") + service->kind());
-    } catch (const std::exception& error) {
-      // Guards against a file that is half written or wrong: it must not cost the calls in work.
-      log(std::string("configuration stays as it was front=") + service->kind() + ": " + error.what());
-    }
+    service->reload([this, kind = service->kind()](const std::string& fault) {
+      if (fault.empty()) {
+        log(LogLevel::info, "configuration_taken", {{"front", kind}});
+      } else {
+        // Guards against a file that is half written or wrong: it must not cost the calls in work.
+        log(LogLevel::error, "configuration_kept", {{"front", kind}, {"fault", fault}});
+      }
+    });
   }
 }
 
+bool Program::working() const {
+  return std::any_of(services_.begin(), services_.end(), [](const auto& each) { return each->working(); });
+}
+
 void Program::drain() {
   if (draining_) return;
   draining_ = true;
   std::size_t open = 0;
   for (const auto& service : services_) open += service->router().open();
-  log("draining open=" + std::to_string(open));
+  log(LogLevel::info, "draining", {{"open", open}});
   for (const auto& service : services_) service->leave();
   deadlines_.set(clock_.now() + door_open_ms, [this] {
     double longest = 0;
--- a/src/program.hpp
+++ b/src/program.hpp
@@ -8,6 +8,7 @@
 
 #include "core/clock.hpp"
 #include "core/deadlines.hpp"
+#include "log/event_log.hpp"
 #include "net/connections.hpp"
 #include "net/datagrams.hpp"
 #include "service.hpp"
@@ -16,15 +17,19 @@
 
 class Program {
  public:
-  explicit Program(std::string name);
+  explicit Program(EventLog& log);
   void add(std::unique_ptr<Service> service) { services_.push_back(std::move(service)); }
   /// Serves until SIGTERM, SIGINT or drain(); returns the exit status.
   int run();
   /// Takes work a little longer, answers all that it has taken, and ends.
   void drain();
+  /// Something is under way that the end of the process must not wait for.
+  [[nodiscard]] bool working() const;
   /// Each service reads its file again; what cannot be read leaves its service as it was.
   void reload();
-  void log(const std::string& text);
+  void log(LogLevel level, const char* event, const std::vector<LogField>& fields = {});
+  /// The same for parts that know nothing of the program.
+  [[nodiscard]] LogSink log_sink();
 
   [[nodiscard]] Clock& clock() { return clock_; }
   [[nodiscard]] Deadlines& deadlines() { return deadlines_; }
@@ -36,8 +41,9 @@
 
  private:
   void stop_when_done();
+  void tell_dropped();
 
-  std::string name_;
+  EventLog& log_;
   Clock clock_;
   Deadlines deadlines_;
   Connections net_;
@@ -46,6 +52,7 @@
   double started_ = 0;
   double last_call_ = 0;
   bool draining_ = false;
+  bool telling_dropped_ = false;
 };
 
 }  // namespace heathturn
--- a/src/service.hpp
+++ b/src/service.hpp
@@ -1,6 +1,7 @@
 // A front with its core and its carrier, as the program runs it and the console shows it.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,8 +20,11 @@
   virtual ~Service() = default;
   [[nodiscard]] virtual const char* kind() const = 0;
   virtual void start() = 0;
-  /// Reads its file again and goes on by it. Throws InputError naming the key, with nothing changed then.
-  virtual void reload() = 0;
+  /// Reads its file again and goes on by it, whole, or leaves all as it was. `done` is told the fault, or
+  /// nothing, now or later.
+  virtual void reload(std::function<void(const std::string& fault)> done) = 0;
+  /// Work that the end of the process must not wait for is still under way.
+  [[nodiscard]] virtual bool working() const { return false; }
   /// New requests are refused from here on.
   virtual void close_door() = 0;
   [[nodiscard]] virtual Router& router() = 0;
--- a/tests/router/appliance_test.cpp
+++ b/tests/router/appliance_test.cpp
@@ -35,8 +35,7 @@
            R"(,"@enabled":"true"},"metadata":{"number":"0","lookups":"8"}}]}]}})";
   }
   [[nodiscard]] std::string config(const std::string& more = "") const {
-    return R"("eureka":{"registry":")" + listener.address().text() +
-           R"(","application":"ns","fetch_every_ms":50,"heartbeat_ms":50)" + more + "},";
+    return "registry { name: \"r\" address: \"" + listener.address().text() + "\" fetch_every: \"50ms\" " + more + "}\n";
   }
 };
 
@@ -57,7 +56,7 @@
   CHECK(served(1));
   // An outage in three forms: the list stays.
   Registry::answer(fetch, 500);
-  e.program->log("eureka: the list stays as it was");
+  e.program->log("event=registry_unusable");
   Registry::answer(registry.next(), 200, "{nonsense");
   registry.next().connection.close();
   CHECK(served(2));
@@ -74,17 +73,17 @@
   Registry::answer(fetch, 200, Registry::list(e.udp[0].address(), "OUT_OF_SERVICE", "OUT_OF_SERVICE_1_"));
   fetch = registry.next();
   e.ask(Enum::query(Enum::under("2.4.6"), 5));
+  const auto refused = e.answer();  // at once, while the other is still open
+  CHECK(refused.id == 5);
+  CHECK(refused.rcode == dns::rcode::serv_fail);
   CHECK(e.udp[0].quiet(100));
   e.send(0, before, Enum::reply(before.message, "sip:s@example.org"));
   CHECK(e.answer().id == 4);
-  const auto refused = e.answer();
-  CHECK(refused.id == 5);
-  CHECK(refused.rcode != dns::rcode::no_error);
 }
 
 TEST_CASE("the program registers itself, keeps itself known, and takes itself off") {
   const Registry registry;
-  const Enum e(8, registry.config(R"(,"register_as":"HEATHTURN","instance":"h 1")"), true);
+  const Enum e(8, registry.config(R"(register { application: "HEATHTURN" instance: "h 1" heartbeat: "50ms" })"), true);
   std::vector<std::string> seen;
   bool leaving = false;
   while (seen.size() < 4) {
@@ -146,7 +145,7 @@
 
 TEST_CASE("a console's path that something else uses is left alone") {
   const TempFile at("mine");
-  Process program({"serve", "--enum", HEATHTURN_ENUM_FILE, "--console", at.path()});
+  Process program({"serve", "--site", HEATHTURN_SITE_FILE, "--console", at.path()});
   program.log("in use by something else");
   CHECK(program.wait() == 1);
   CHECK(read_file(at.path()) == "mine");
--- a/tests/router/codec_test.cpp
+++ b/tests/router/codec_test.cpp
@@ -1,7 +1,6 @@
 // What comes off the wire, read and refused: JSON lines, DNS messages, configuration.
 #include <catch2/catch.hpp>
 
-#include "config/enum_config.hpp"
 #include "core/router.hpp"
 #include "enum/dns.hpp"
 #include "eureka/instances.hpp"
@@ -161,38 +160,5 @@
   CHECK(list.converters("NS").size() == 1);
 }
 
-// ---- Configuration --------------------------------------------------------------------------------------
-
-std::string error_for(std::string text, const std::string& from, const std::string& to) {
-  const auto at = text.find(from);
-  REQUIRE(at != std::string::npos);
-  text.replace(at, from.size(), to);
-  try {
-    (void)parse_enum_config(text);
-  } catch (const InputError& error) {
-    return error.what();
-  }
-  return "";
-}
-
-TEST_CASE("the deployed ENUM file is in order, and errors in it name the key") {
-  const auto text = read_file(HEATHTURN_ENUM_FILE);
-  const auto config = parse_enum_config(text);
-  CHECK(config.suffix == "enum.example.org");
-  CHECK(config.range_of("6491")->prefix == "649");
-  CHECK(config.range_of("6441")->prefix == "64");
-  CHECK(config.range_of("1")->prefix.empty());
-  CHECK(config.settings.release_wait == to_duration(socket_slack_ms));
-  CHECK(error_for(text, "127.0.0.1:5335", "nowhere") == "listen is not an address with a port");
-  CHECK(error_for(text, "\"prefix\": \"649\"", "\"prefix\": \"64\"") ==
-        "numbers.1.prefix stands there twice");
-  CHECK(error_for(text, "\"class\": \"abroad\"", "\"class\": \"none\"") ==
-        "numbers.2.class is not a class of the settings");
-  CHECK(error_for(text, "\"lookups\": 64", "\"lookups\": 0") == "upstreams.0.lookups is out of range");
-  CHECK(error_for(text, "\"try_limit\": 3", "\"try_limit\": \"x\"").find("limits.try_limit") !=
-        std::string::npos);
-  CHECK(error_for(text, "{", "{{").find("is not JSON") != std::string::npos);
-}
-
 }  // namespace
 }  // namespace heathturn
--- /dev/null
+++ b/tests/router/config_test.cpp
@@ -0,0 +1,420 @@
+// The language of the operator's file: its units, its faults one by one, its layout, and what a change means.
+#include <rapidcheck.h>
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <random>
+#include <sstream>
+
+#include "config/convert.hpp"
+#include "config/explain.hpp"
+#include "config/formatter.hpp"
+#include "config/site_diff.hpp"
+#include "config/site_reader.hpp"
+#include "config/sources.hpp"
+#include "core/clock.hpp"
+#include "stand_in.hpp"
+
+namespace heathturn::test {
+namespace {
+
+namespace fs = std::filesystem;
+
+#define PROPERTY(name, ...) REQUIRE(rc::check(name, __VA_ARGS__))
+
+/// A folder that goes with the object.
+struct Folder {
+  fs::path path;
+  Folder() {
+    std::string name = "/tmp/heathturn-test-XXXXXX";
+    REQUIRE(::mkdtemp(name.data()) != nullptr);
+    path = name;
+  }
+  ~Folder() { fs::remove_all(path); }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  std::string write(const std::string& name, const std::string& text) const {
+    std::ofstream(path / name, std::ios::binary) << text;
+    return (path / name).string();
+  }
+};
+
+struct Ran {
+  int status = 0;
+  std::string out;
+};
+Ran run(const std::vector<std::string>& arguments) {
+  Process program(arguments);
+  Ran out;
+  out.out = program.rest();
+  out.status = program.wait();
+  return out;
+}
+
+bool holds(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+// ---- Units ----------------------------------------------------------------------------------------------
+
+TEST_CASE("durations, shares, sizes and rates have units, and say so") {
+  CHECK(*units::duration("300ms").value == 300);
+  CHECK(*units::duration("1.5s").value == 1500);
+  CHECK(*units::duration("2m").value == 120000);
+  CHECK(*units::duration("1h").value == 3600000);
+  CHECK(*units::duration("250us").value == 0.25);
+  CHECK(units::duration("300").fault == "has no unit");
+  CHECK(units::duration("").fault == "is no number with a unit");
+  CHECK(units::duration("-1s").fault == "is negative");
+  CHECK(units::duration("1 s").fault == "has the unknown unit \" s\"");
+  CHECK(units::duration("1e3s").fault == "has the unknown unit \"e3s\"");
+  CHECK(units::duration("infs").fault == "is no number with a unit");
+  CHECK(*units::share("35%").value == Approx(0.35));
+  CHECK(*units::share("0.35").value == Approx(0.35));
+  CHECK(units::share("35").fault == "is above 1 and has no %");
+  CHECK(units::share("101%").fault == "is above 100%");
+  CHECK(*units::size("64KiB").value == 65536);
+  CHECK(*units::size("2MB").value == 2e6);
+  CHECK(units::size("64k").fault == "has the unknown unit \"k\"");
+  CHECK(*units::rate("30/m").value == Approx(0.5));
+  CHECK(units::rate("30").fault == "has no unit");
+  for (const char* each : {"300ms", "1.5s", "90s", "2m", "0.25ms", "1.25s"}) {
+    CHECK(*units::duration(units::duration_text(*units::duration(each).value)).value == *units::duration(each).value);
+  }
+  CHECK(units::rate_text(*units::rate("30/m").value) == "30/m");
+  CHECK(units::rate_text(*units::rate("7/h").value) == "7/h");
+}
+
+TEST_CASE("times of the week: over midnight, over Sunday, and written back the same") {
+  const auto text = [](const char* given) {
+    const auto spans = units::week_spans(given);
+    return spans.value ? units::week_text(*spans.value) : "fault: " + spans.fault;
+  };
+  CHECK(text("Mon-Tue 08:00-18:00") == "Mon 08:00-18:00, Tue 08:00-18:00");
+  CHECK(text("Sun 22:00-06:00") == "Mon 00:00-06:00, Sun 22:00-24:00");
+  CHECK(text("Sat-Mon") == "Mon, Sat, Sun");
+  CHECK(text("Sat 08:00-12:00, Sat 11:00-13:00") == "Sat 08:00-13:00");
+  CHECK(text("Fri 18:00-24:00,Sat") == "Fri 18:00-24:00, Sat");
+  CHECK(text("Mon 25:00-26:00") == "fault: has the unusable time \"25:00-26:00\"");
+  CHECK(text("Mo 08:00-09:00") == "fault: has the unknown day \"Mo\"");
+  CHECK(text("Mon 08:00-08:00") == "fault: has the unusable time \"08:00-08:00\"");
+  CHECK(text("Mon,,Tue") == "fault: has an empty part");
+  PROPERTY("written and read again", [](unsigned seed) {
+    std::mt19937 random(seed);
+    std::vector<units::WeekSpan> spans;
+    std::uint16_t at = 0;
+    while (spans.size() < 5) {
+      const auto from = static_cast<std::uint16_t>(at + 1 + random() % 1000);
+      at = static_cast<std::uint16_t>(from + 1 + random() % 1000);
+      spans.push_back({from, at});
+    }
+    RC_ASSERT(*units::week_spans(units::week_text(spans)).value == spans);
+  });
+}
+
+// ---- Faults ---------------------------------------------------------------------------------------------
+
+/// Of each file, the message that it must lead to stands in its first line: `# expect LINE:COL: ...`.
+TEST_CASE("each broken file of the corpus yields its one message, with its place") {
+  const fs::path folder = fs::path(HEATHTURN_TEST_FILES) / "broken";
+  std::size_t files = 0;
+  for (const auto& entry : fs::directory_iterator(folder)) {
+    const auto path = entry.path().string();
+    if (!path.ends_with(".textproto")) continue;
+    ++files;
+    INFO(entry.path().filename());
+    std::ifstream in(path);
+    std::string first;
+    std::getline(in, first);
+    REQUIRE(first.starts_with("# expect "));
+    Faults faults;
+    (void)read_site(path, faults);
+    std::string told;
+    for (const auto& each : faults.all()) told += (told.empty() ? "" : "\n") + each.line_text();
+    // Places in other files of the corpus are told by their whole path.
+    for (auto at = told.find(folder.string() + "/"); at != std::string::npos; at = told.find(folder.string() + "/")) {
+      told.erase(at, folder.string().size() + 1);
+    }
+    CHECK(told == first.substr(9));
+    CHECK(faults.all().size() == 1);
+  }
+  CHECK(files >= 60);
+}
+
+std::string only_fault(const std::string& path) {
+  Faults faults;
+  (void)read_site(path, faults);
+  REQUIRE(faults.all().size() == 1);
+  return faults.all().front().line_text();
+}
+
+TEST_CASE("an include cycle through three files names the whole chain; a file read by two ways counts once") {
+  const Folder folder;
+  const auto at = (folder.path / "").string();
+  folder.write("a.textproto", "include: \"b.textproto\"\n");
+  folder.write("b.textproto", "\ninclude: \"c.textproto\"\n");
+  folder.write("c.textproto", "\n\n  include: \"a.textproto\"\n");
+  CHECK(only_fault(at + "a.textproto").starts_with(at + "c.textproto:3:3: include: an include cycle: " + at +
+                                                   "a.textproto -> " + at + "b.textproto -> " + at +
+                                                   "c.textproto -> " + at + "a.textproto; expected "));
+  const auto text = read_file(HEATHTURN_SITE_FILE);
+  folder.write("site.textproto", text);
+  folder.write("left.textproto", "include: \"site.textproto\"\n");
+  const auto top = folder.write("top.textproto", "include: [\"left.textproto\", \"./site.textproto\"]\n");
+  CHECK(load_site(top).routes.size() == 3);
+}
+
+TEST_CASE("files that are none, too large, cut off, or not text are told of and not waited for") {
+  const Folder folder;
+  CHECK(holds(only_fault(folder.path.string()), "is a directory; expected a file of text"));
+  CHECK(holds(only_fault((folder.path / "none").string()), "cannot be read: No such file"));
+  const auto pipe = (folder.path / "pipe").string();
+  REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
+  CHECK(holds(only_fault(pipe), "is no regular file"));
+  const auto loop = folder.path / "loop";
+  fs::create_symlink(loop, loop);
+  CHECK(holds(only_fault(loop.string()), "cannot be read: Too many levels"));
+  const auto large = folder.write("large", "#");
+  fs::resize_file(large, 60'000'000);
+  CHECK(holds(only_fault(large), "has 60000000 bytes; expected no more than 33554432"));
+  const auto text = read_file(HEATHTURN_SITE_FILE);
+  const auto latin = folder.write("latin", "listen: \"127.0.0.1:1\"\n# caf\xe9\n");
+  CHECK(only_fault(latin) == latin + ":2:6: syntax: a byte here is no text; expected UTF-8 without zero bytes");
+  // Cut off anywhere, it is either told of in one or more faults, or it is whole as far as it goes.
+  std::size_t told = 0;
+  for (std::size_t length = 0; length < text.size(); length += 7) {
+    const auto path = folder.write("cut", text.substr(0, length));
+    Faults faults;
+    (void)read_site(path, faults);
+    if (faults.any_error()) ++told;
+  }
+  CHECK(told > text.size() / 7 / 2);
+}
+
+TEST_CASE("all faults of a file are told in one run, and its warnings are no faults unless asked") {
+  const Folder folder;
+  auto text = read_file(HEATHTURN_SITE_FILE);
+  const auto replace = [&text](const std::string& from, const std::string& to) {
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    text.replace(at, from.size(), to);
+  };
+  replace("deadline: \"1.5s\"", "deadline: 1500");
+  replace("\"127.0.0.1:5301\"", "\"nowhere\"");
+  replace("policy: \"quick\"", "policy: \"quack\"");
+  replace("worth: 2", "wroth: 2");
+  replace("aim: \"1s\"", "aim: \"1\"");
+  const auto broken = folder.write("broken", text);
+  const auto ran = run({"config", "check", broken});
+  CHECK(ran.status == 1);
+  CHECK(std::count(ran.out.begin(), ran.out.end(), '\n') == 5);
+  CHECK(holds(ran.out, "deadline: 1500 has no unit; expected a duration such as"));
+  CHECK(holds(ran.out, "pool.north.member.north.address: \"nowhere\" is no address"));
+  CHECK(holds(ran.out, "route.649.policy: no policy is named \"quack\"; expected one of default, quick"));
+  CHECK(holds(ran.out, "wroth: there is no such field here; expected name, worth"));
+  CHECK(holds(ran.out, "class.look-up.aim: \"1\" has no unit"));
+  const auto unused = folder.write("unused", read_file(HEATHTURN_SITE_FILE) + "policy { name: \"spare\" }\n");
+  const auto warned = run({"config", "check", unused});
+  CHECK(warned.status == 0);
+  CHECK(holds(warned.out, "warning: policy.spare: no route uses this policy"));
+  CHECK(run({"config", "check", "--strict", unused}).status == 1);
+}
+
+TEST_CASE("the old JSON form is named as such, and converted to the same meaning") {
+  const std::string old = std::string(HEATHTURN_TEST_FILES) + "/old_form.json";
+  Process program({"serve", "--enum", old});
+  CHECK(holds(program.rest(), "`heathturn config convert " + old + "` writes the new one"));
+  CHECK(program.wait() == 1);
+  const Folder folder;
+  const auto converted = (folder.path / "site.textproto").string();
+  CHECK(run({"config", "convert", old, "--out", converted}).status == 0);
+  const auto difference = diff_sites(load_site(converted), load_site(HEATHTURN_SITE_FILE));
+  CHECK(difference.moved == 0);
+  for (const auto& each : difference.changes) {
+    CHECK((each.kind == "policy" || each.text == "numbers 649: policy quick, was within-1.5s"));
+  }
+  const auto with_registry = convert_old_site("old", R"({"listen":"127.0.0.1:1","suffix":"e.org",
+    "numbers":[{"prefix":"","destination":3}],
+    "eureka":{"registry":"127.0.0.1:2","application":"ns","fetch_every_ms":250,"register_as":"h"},
+    "settings":{"balancers":1,"classes":[{"name":"a","importance":1,"objective_us":1000000,"give_up_us":2000000}],
+    "specifics":{"network_form":"groups"},"limits":{"try_limit":9}}})");
+  const auto config = load_site(folder.write("r", with_registry));
+  CHECK(config.pools.at(0).from_registry->number == 3);
+  CHECK(config.registries.at(0).fetch_every_ms == 250);
+  CHECK(config.registries.at(0).own_application == "h");
+  CHECK(config.policies.at(0).attempts == 6);
+  CHECK(run({"config", "convert", converted}).status == 1);
+}
+
+// ---- Layout ---------------------------------------------------------------------------------------------
+
+/// A random file of the language, with comments and odd layout all over.
+std::string random_site(std::mt19937& random) {
+  const auto pick = [&random](std::initializer_list<const char*> from) {
+    return std::string(*(from.begin() + static_cast<long>(random() % from.size())));
+  };
+  const auto gap = [&] { return pick({" ", "\n", "  ", "\n\n", " # remark\n", "\n# a line\n", "\t"}); };
+  const auto colon = [&] { return pick({":", ": ", " : ", ":\n"}); };
+  const auto text = [&](const std::string& value) { return pick({"'", "\""}) == "'" ? "'" + value + "'" : "\"" + value + "\""; };
+  std::string out = gap() + "listen" + colon() + text("127.0.0.1:1") + gap() + "suffix" + colon() + "\"e.\" \"org\"" + gap();
+  const auto classes = 1 + random() % 3;
+  for (unsigned i = 0; i < classes; ++i) {
+    out += "class" + pick({" ", ": ", ""}) + "{" + gap() + "name" + colon() + text("c" + std::to_string(i)) + pick({",", ";", " "}) +
+           gap() + "worth:" + std::to_string(random() % 9) + gap() + "}" + gap();
+  }
+  const auto pools = 1 + random() % 4;
+  for (unsigned i = 0; i < pools; ++i) {
+    const auto name = "p" + std::to_string(i);
+    out += "pool <" + gap() + "name: " + text(name) + gap() + "member" + pick({"", ":"}) + " [" + gap();
+    const auto members = 1 + random() % 3;
+    for (unsigned k = 0; k < members; ++k) {
+      out += std::string(k > 0 ? "," : "") + gap() + "{name: " + text(name + "m" + std::to_string(k)) + gap() +
+             "address: \"127.0.0.1:" + std::to_string(1 + random() % 9) + "\"" + gap() + "}";
+    }
+    out += gap() + "]" + gap() + ">" + gap();
+  }
+  out += "policy { name: \"p\"" + gap() + "attempts: " + std::to_string(1 + random() % 6) + "}" + gap();
+  const auto routes = 1 + random() % 6;
+  for (unsigned i = 0; i < routes; ++i) {
+    out += "route {" + gap() + "prefix" + colon() + "[" + gap() + text("6" + std::to_string(i)) + gap() + "," + text("7" + std::to_string(i)) +
+           gap() + "]" + gap();
+    const auto first = random() % pools, second = random() % pools;
+    if (first != second) {
+      out += "to { pool: " + text("p" + std::to_string(first)) + gap() + "share: '0.25' }" + gap() + "to { share: \"75%\"" + gap() +
+             "pool: " + text("p" + std::to_string(second)) + "}" + gap();
+    } else {
+      out += "to { pool: " + text("p" + std::to_string(first)) + "}" + gap();
+    }
+    out += (random() % 2 == 0 ? "policy: 'p'" + gap() : "") + "}" + gap();
+  }
+  return out;
+}
+
+std::vector<std::string> comments_of(const std::string& text) {
+  std::vector<std::string> out;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    if (const auto at = line.find('#'); at != std::string::npos) out.push_back(line.substr(at));
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+TEST_CASE("layout: stable, every comment kept, the same meaning; a file differs in nothing from its formatted self") {
+  PROPERTY("generated files", [](unsigned seed) {
+    std::mt19937 random(seed);
+    const auto text = random_site(random);
+    Faults faults;
+    const auto once = format_source("x", text, faults);
+    RC_ASSERT(once.has_value());
+    const auto twice = format_source("x", *once, faults);
+    RC_ASSERT(twice == once);
+    RC_ASSERT(comments_of(*once) == comments_of(text));
+    const TempFile before(text), after(*once);
+    RC_ASSERT(diff_sites(load_site(before.path()), load_site(after.path())).changes.empty());
+  });
+  Faults faults;
+  const auto example = read_file(HEATHTURN_SITE_FILE);
+  CHECK(format_source("x", example, faults) == example);
+}
+
+TEST_CASE("fmt writes in one step, keeps the mode, and says by its status what it found") {
+  const Folder folder;
+  const auto path = folder.write("site", "listen:'127.0.0.1:1'  # here\n\n\n\nclass{name:'a'}");
+  ::chmod(path.c_str(), 0640);
+  CHECK(run({"config", "fmt", "--check", path}).status == 1);
+  CHECK(run({"config", "fmt", path}).out == "listen: '127.0.0.1:1'  # here\n\nclass { name: 'a' }\n");
+  CHECK(run({"config", "fmt", "--write", path}).status == 0);
+  CHECK(read_file(path) == "listen: '127.0.0.1:1'  # here\n\nclass { name: 'a' }\n");
+  CHECK((fs::status(path).permissions() & fs::perms::mask) == fs::perms(0640));
+  CHECK(run({"config", "fmt", "--check", path}).status == 0);
+  CHECK(std::distance(fs::directory_iterator(folder.path), {}) == 1);
+  const auto broken = folder.write("broken", "listen {");
+  CHECK(run({"config", "fmt", "--write", broken}).status == 2);
+  CHECK(read_file(broken) == "listen {");
+}
+
+// ---- Difference -----------------------------------------------------------------------------------------
+
+std::string site_text(const std::string& routes, const std::string& more = "") {
+  const auto pool = [](const std::string& name) {
+    return "pool { name: \"" + name + "\" member { name: \"" + name + "1\" address: \"127.0.0.1:1\" } }\n";
+  };
+  return "listen: \"127.0.0.1:0\"\nsuffix: \"e.org\"\nclass { name: \"a\" }\n" + pool("north") + pool("south") + more + routes;
+}
+
+std::vector<std::string> changes(const std::string& before, const std::string& after, std::string* summary = nullptr) {
+  const TempFile old(before), fresh(after);
+  const auto difference = diff_sites(load_site(old.path()), load_site(fresh.path()));
+  if (summary != nullptr) *summary = difference.summary();
+  std::vector<std::string> out;
+  for (const auto& each : difference.changes) out.push_back(each.text);
+  return out;
+}
+
+std::string route(const std::string& match, const std::string& to, const std::string& more = "") {
+  return "route { " + match + " " + to + " " + more + " }\n";
+}
+std::string shares(const std::string& north, const std::string& south) {
+  return "to { pool: \"north\" share: \"" + north + "\" } to { pool: \"south\" share: \"" + south + "\" }";
+}
+
+TEST_CASE("a difference is told in what it means for numbers, pools and policies") {
+  using Lines = std::vector<std::string>;
+  const auto base = route("prefix: \"649\"", shares("90%", "10%")) + route("", "to { pool: \"north\" }");
+  std::string summary;
+  CHECK(changes(site_text(base), site_text(route("prefix: \"649\"", shares("70%", "30%")) + route("", "to { pool: \"north\" }")),
+                &summary) == Lines{"numbers 649: 70% to pool north, was 90%; 30% to pool south, was 10%"});
+  CHECK(summary == "about 1 of 2 ranges of numbers change their first pool");
+  // Order of things, shares written otherwise, a route that changes nothing: no difference.
+  CHECK(changes(site_text(base), site_text(route("", "to { pool: \"north\" }") + route("prefix: \"649\"", shares("0.9", "0.1")) +
+                                           route("prefix: \"64\"", "to { pool: \"north\" }")))
+            .empty());
+  // A route that goes leaves its numbers to the shorter prefix.
+  CHECK(changes(site_text(base), site_text(route("", "to { pool: \"north\" }"))) ==
+        Lines{"numbers 649: 100% to pool north, was 90%; no longer to pool south, was 10%"});
+  CHECK(changes(site_text(route("prefix: \"649\"", "to { pool: \"north\" }")), site_text(route("prefix: \"648\"", "to { pool: \"north\" }"))) ==
+        Lines{"numbers 648: new: 100% to pool north; policy default", "numbers 649: no route any more, was 100% to pool north; policy default"});
+  // By time of the week alone.
+  CHECK(changes(site_text(base), site_text(route("prefix: \"649\" when: \"Sat-Sun\"", "to { pool: \"south\" }") + base)) ==
+        Lines{"numbers 649, Sat, Sun: 100% to pool south, was 10%; no longer to pool north, was 90%"});
+  const std::string tenant = "tenant { name: \"tui\" network: \"10.0.0.0/8\" }\n";
+  CHECK(changes(site_text(base, tenant), site_text(route("prefix: \"649\" tenant: \"tui\"", "to { pool: \"south\" }") + base, tenant)) ==
+        Lines{"numbers 649, tenant tui: 100% to pool south, was 10%; no longer to pool north, was 90%"});
+  const std::string slow = "policy { name: \"p\" deadline: \"2s\" attempts: 2 }\n", slower = "policy { name: \"p\" deadline: \"3s\" attempts: 2 rate: \"5/s\" }\n";
+  CHECK(changes(site_text(base, slow), site_text(base, slower)) ==
+        Lines{"policy p: deadline 3s, was 2s", "policy p: rate 5/s burst 1, was no limit"});
+  const auto lines = changes(site_text(base), site_text(base + "decisions { attempts: 2 }\n", "pool { name: \"west\" member { name: \"w\" address: \"127.0.0.1:2\" } }\npolicy { name: \"default\" attempts: 2 }\n"));
+  CHECK(lines == Lines{"decisions: attempts 2, was 6", "pool west: new", "policy default: attempts 2, was 3"});
+}
+
+TEST_CASE("diff and show on the command line: sentences, JSON, exit statuses, and why a number goes where it goes") {
+  const Folder folder;
+  const auto example = std::string(HEATHTURN_SITE_FILE);
+  auto text = read_file(example);
+  CHECK(run({"config", "diff", example, example}).status == 0);
+  text.replace(text.find("127.0.0.1:5301"), 14, "127.0.0.1:5309");
+  const auto moved = folder.write("moved", text);
+  const auto ran = run({"config", "diff", example, moved});
+  CHECK(ran.status == 1);
+  CHECK(ran.out == "pool north: member north address 127.0.0.1:5309, was 127.0.0.1:5301\n");
+  const auto json = run({"config", "diff", "--json", example, moved});
+  CHECK(holds(json.out, R"("kind":"pool","subject":"pool north")"));
+  CHECK(run({"config", "diff", example, folder.write("bad", "x")}).status == 2);
+  const auto shown = run({"config", "show", example});
+  CHECK(shown.status == 0);
+  CHECK(holds(shown.out, "policy.quick.deadline = 1.5s"));
+  CHECK(holds(shown.out, "# policy default, " + example + ":"));
+  CHECK(holds(shown.out, "# default\n"));
+  const auto why = run({"config", "show", example, "--number", "6494321", "--class", "abroad"});
+  CHECK(holds(why.out, "class abroad (as asked)"));
+  CHECK(holds(why.out, "route for numbers 649 at "));
+  CHECK(holds(why.out, "policy quick"));
+  CHECK(holds(run({"config", "show", example, "--number", "12"}).out, "route for all numbers"));
+  CHECK(run({"config", "show", example, "--number", "12", "--class", "none"}).status == 1);
+  for (const char* each : {"check", "fmt", "diff", "show", "convert"}) {
+    CHECK(holds(run({"config", each, "--help"}).out, "Exit status: "));
+  }
+}
+
+}  // namespace
+}  // namespace heathturn::test
--- a/tests/router/enum_stand_in.hpp
+++ b/tests/router/enum_stand_in.hpp
@@ -19,28 +19,57 @@
 
   explicit Enum(int lookups = 8, const std::string& more = "", bool only_eureka = false,
                 const std::vector<std::string>& arguments = {}) {
-    std::string upstreams;
+    bind();
+    std::string pools;
+    for (std::size_t i = 0; i < 2; ++i) {
+      const auto number = std::to_string(i);
+      pools += "pool { name: \"pool" + number + "\" " +
+               (only_eureka ? "from_registry { registry: \"r\" application: \"ns\" number: " + number + " }"
+                            : "member { name: \"ns" + number + "\" address: \"" + udp[i].address().text() +
+                                  "\" most_requests: " + std::to_string(lookups) + " }") +
+               " }\n";
+    }
+    start(front() + pools + more + routes("pool0", "pool1"), arguments);
+  }
+  /// With a site of the test's own; `$0` and `$1` stand for the addresses of the name servers.
+  explicit Enum(const std::string& text, const std::vector<std::string>& arguments = {}) {
+    bind();
+    start(front() + with_addresses(text), arguments);
+  }
+  [[nodiscard]] std::string with_addresses(std::string text) const {
+    for (std::size_t i = 0; i < 2; ++i) {
+      const auto word = "$" + std::to_string(i);
+      for (auto at = text.find(word); at != std::string::npos; at = text.find(word)) {
+        text.replace(at, word.size(), udp[i].address().text());
+      }
+    }
+    return text;
+  }
+  void bind() {
     for (int i = 0; i < 2; ++i) {
       auto [datagrams, streams] = Socket::bound_pair();
       udp.push_back(std::move(datagrams));
       tcp.push_back(std::move(streams));
-      upstreams += std::string(i > 0 ? "," : "") + R"({"name":"ns)" + std::to_string(i) + R"(","address":")" +
-                   udp.back().address().text() + R"(","number":)" + std::to_string(i) + R"(,"lookups":)" +
-                   std::to_string(lookups) + "}";
     }
-    file = std::make_unique<TempFile>(
-        R"({"listen":"127.0.0.1:0","suffix":"enum.example.org","numbers":[
-        {"prefix":"64","destination":0,"deadline_ms":1500},{"prefix":"","destination":1,"deadline_ms":1500}],)" +
-        (only_eureka ? "" : R"("upstreams":[)" + upstreams + "],") + more +
-        R"("settings":{"balancers":1,"step_us":5000,
-        "classes":[{"name":"a","importance":1,"objective_us":1000000,"give_up_us":1500000}],
-        "specifics":{"network_form":"groups","home_no":-1,"skilled_pools":[]},
-        "limits":{"try_limit":3,"cancelling":true}}})");
-    std::vector<std::string> words = {"serve", "--enum", file->path()};
+  }
+  void start(const std::string& text, const std::vector<std::string>& arguments) {
+    file = std::make_unique<TempFile>(text);
+    std::vector<std::string> words = {"serve", "--site", file->path()};
     words.insert(words.end(), arguments.begin(), arguments.end());
     program = std::make_unique<Process>(words);
     server = program->listening("resolver");
   }
+  static std::string front() {
+    return "listen: \"127.0.0.1:0\"\nsuffix: \"enum.example.org\"\ndecisions { attempts: 3 }\n"
+           "class { name: \"a\" aim: \"1s\" give_up: \"1500ms\" }\n";
+  }
+  /// Numbers under 64 to the one first, all others to the other.
+  static std::string routes(const std::string& under_64, const std::string& others) {
+    const auto route = [](const std::string& prefix, const std::string& first, const std::string& then) {
+      return "route { prefix: \"" + prefix + "\" to { pool: \"" + first + "\" } to { pool: \"" + then + "\" } }\n";
+    };
+    return route("64", under_64, others) + route("", others, under_64);
+  }
   static dns::Message query(const std::string& name, std::uint16_t id = 77) {
     dns::Message out;
     out.id = id;
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -300,7 +300,7 @@
   Platform p(false, 24);
   std::vector<Socket> crowd;
   for (int i = 0; i < 30; ++i) crowd.push_back(Socket::connect(p.callers));
-  p.program->log("accept failed side=caller");
+  p.program->log("event=accept_failed side=caller");
   crowd.clear();
   auto caller = Socket::connect(p.callers);
   caller.say(Platform::word(Op::test, call_a, 0));
@@ -582,10 +582,10 @@
   // What cannot be read changes nothing, and the log names the key at fault.
   p.config->write(R"({"listen":"127.0.0.1:0","bus":"nowhere"})");
   p.program->signal(SIGHUP);
-  CHECK(p.program->log("configuration stays as it was").find("bus is not an address") != std::string::npos);
+  CHECK(p.program->log("event=configuration_kept").find("bus is not an address") != std::string::npos);
   p.config->write("{\"listen\":");
   p.program->signal(SIGHUP);
-  CHECK(p.program->log("configuration stays as it was").find("not JSON") != std::string::npos);
+  CHECK(p.program->log("event=configuration_kept").find("not JSON") != std::string::npos);
   feed.write(frame(5, 2, 9, 0, p.converters[1].address()));
   caller.say(Platform::offer("00000000000000c3", 3000, 9));
   CHECK(Platform::held(p.converters[1]).quiet(0));  // the one to number 2
--- a/tests/router/stand_in.hpp
+++ b/tests/router/stand_in.hpp
@@ -67,8 +67,8 @@
     REQUIRE(::connect(out.descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
     return out;
   }
-  static Socket bound(int type) {
-    auto out = try_bound(type, {0x7f000001, 0});
+  static Socket bound(int type, std::uint32_t host = 0x7f000001) {
+    auto out = try_bound(type, {host, 0});
     REQUIRE(out.descriptor_ >= 0);
     return out;
   }
@@ -232,6 +232,17 @@
   }
   Address listening(const std::string& side) { return *Address::parse(log("side=" + side + " at=")); }
   void signal(int number) const { ::kill(pid_, number); }
+  /// The same as wait(), with nothing of its output read.
+  int wait_unread() {
+    const double until = now_ms() + patience_ms;
+    int status = 0;
+    while (::waitpid(pid_, &status, WNOHANG) == 0) {
+      REQUIRE(now_ms() < until);
+      ::poll(nullptr, 0, 10);
+    }
+    pid_ = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
   /// Its exit status; -1 when a signal ended it.
   int wait() {
     const double until = now_ms() + patience_ms;
