DNS over TLS to ENUM name servers, an admission of handshakes, and its emulator

Need: some installations require encryption towards converters and name servers. A full handshake costs a converter processor time just when it is cold, and all routers come back at once after its restart.

Change: src/net/tls verifies certificates (authorities, name or address, pins, revocation lists, key strength, ALPN), bounds what a peer sends, names each way to fail by a reason of its own, and keeps sessions by converter id. src/enum/dot_links asks over a few kept connections (RFC 7858). src/handshakes, without I/O, decides when a connection may be opened: a budget of the converter's processor by router, a random place in the time that all routers need, backoff with full jitter, hysteresis about resumption, fewer connections while it is cold; a call that cannot wait so long is given back at once. Certificates are read and checked whole at SIGHUP. src/emulator plays routers and a converter in simulated time; `heathturn experiment handshakes` prints and plots it.

Not yet: TLS on the platform's side, processor time by handshake, bytes a connection.

--- a/src/config/enum_config.hpp
+++ b/src/config/enum_config.hpp
@@ -9,6 +9,8 @@
 
 #include "config/config.hpp"
 #include "config/units.hpp"
+#include "handshakes/admission.hpp"
+#include "net/tls/tls_config.hpp"
 
 namespace heathturn {
 
@@ -63,6 +65,7 @@
   std::optional<FromRegistry> from_registry;
   std::uint32_t most_requests = 0;  ///< out at once; 0: no limit
   std::vector<std::string> zones;   ///< in order of preference
+  std::optional<tls::TlsConfig> tls;
   Where where;
 };
 
@@ -106,6 +109,7 @@
   std::string console;  ///< path of the console's socket; empty: none
   units::TimeZone zone;
   maddershed::Settings settings;
+  handshakes::Settings handshakes;
   std::vector<ClassPrefix> class_prefixes;
   std::vector<Tenant> tenants;
   std::vector<EurekaConfig> registries;
--- a/src/config/site_diff.cpp
+++ b/src/config/site_diff.cpp
@@ -47,6 +47,7 @@
   SiteDifference run() {
     site();
     decisions();
+    handshakes();
     classes();
     tenants();
     registries();
@@ -111,6 +112,19 @@
     time("decisions", subject, "cold_time", a.cold_time, b.cold_time, true);
   }
 
+  void handshakes() {
+    const auto &a = a_.handshakes, &b = b_.handshakes;
+    const std::string subject = "handshakes";
+    const auto time = [&](const char* key, double before, double after) {
+      value("handshakes", subject, key, units::duration_text(before), units::duration_text(after), true);
+    };
+    value("handshakes", subject, "share", units::share_text(a.share), units::share_text(b.share), true);
+    time("full_cost", a.full_cost, b.full_cost);
+    time("resumed_cost", a.resumed_cost, b.resumed_cost);
+    time("slow", a.slow, b.slow);
+    value("handshakes", subject, "most_in_all", std::to_string(a.most_in_all), std::to_string(b.most_in_all), true);
+  }
+
   void classes() {
     each_name("class", a_.settings.classes, b_.settings.classes, true,
               [this](const std::string& subject, const auto& a, const auto& b) {
@@ -188,10 +202,31 @@
            units::number_text(from.weight);
   }
 
+  static std::string tls_text(const Pool& pool) {
+    if (!pool.tls) return "none";
+    const auto& tls = *pool.tls;
+    std::string out = tls.verify ? "verified" : "not verified";
+    const auto add = [&out](const char* what, const std::string& value) {
+      if (!value.empty()) out += std::string(", ") + what + " " + value;
+    };
+    for (const auto& each : tls.trust) add("trust", each);
+    add("name", tls.name);
+    if (!tls.pins.empty()) add("pins", std::to_string(tls.pins.size()));
+    add("certificate", tls.certificate);
+    add("key", tls.key);
+    add("crl", tls.crl);
+    for (const auto& each : tls.alpn) add("alpn", each);
+    if (tls.tls13_only) add("lowest", "1.3");
+    add("handshake", units::duration_text(tls.handshake_ms));
+    if (tls.most_age_ms > 0) add("most_age", units::duration_text(tls.most_age_ms));
+    return out + ", connections " + std::to_string(tls.connections);
+  }
+
   void pools() {
     each_name("pool", a_.pools, b_.pools, false, [this](const std::string& subject, const Pool& a, const Pool& b) {
       value("pool", subject, "most_requests", limit_text(a.most_requests), limit_text(b.most_requests));
       value("pool", subject, "zones", zones_text(a.zones), zones_text(b.zones));
+      value("pool", subject, "TLS", tls_text(a), tls_text(b));
       value("pool", subject, "members from registry", from_text(a_, a), from_text(b_, b));
       std::map<std::string, const Member*> old, fresh;
       for (const auto& each : a.members) old[each.converter.name] = &each;
--- a/src/config/site_reader.cpp
+++ b/src/config/site_reader.cpp
@@ -10,6 +10,7 @@
 #include "core/clock.hpp"
 #include "core/router.hpp"
 #include "enum/dns.hpp"
+#include "net/tls/context.hpp"
 
 namespace heathturn {
 
@@ -131,6 +132,7 @@
     each("registry", [this](const Node& node) { read_registry(node); });
     each("pool", [this](const Node& node) { read_pool(node); });
     read_decisions();
+    read_handshakes();
     read_policies();
     each("route", [this](const Node& node) { read_route(node); });
     require_some();
@@ -440,6 +442,7 @@
       for (const auto& zone : out.zones) list += (list.empty() ? "" : ", ") + zone;
       note(node.path("zone"), list, where_text(config_, node.place("zone", 0)));
     }
+    if (message.has_tls()) out.tls = read_tls(node.inner("tls", -1));
     double weights = 0;
     for (int i = 0; i < message.member_size(); ++i) {
       auto inner = node.inner("member", i);
@@ -477,6 +480,74 @@
     config_.pools.push_back(std::move(out));
   }
 
+  [[nodiscard]] std::string beside(const Node& node, const std::string& path) const {
+    if (path.empty() || path.starts_with('/')) return path;
+    const auto slash = node.file->name.rfind('/');
+    return slash == std::string::npos ? path : node.file->name.substr(0, slash + 1) + path;
+  }
+
+  tls::TlsConfig read_tls(const Node& node) {
+    tls::TlsConfig out;
+    const auto& message = static_cast<const config::v1::Tls&>(*node.message);
+    for (const auto& each : message.trust()) out.trust.push_back(beside(node, each));
+    out.name = text(node, "name", "");
+    for (int i = 0; i < message.pin_size(); ++i) {
+      const auto pin = tls::parse_pin(message.pin(i));
+      if (pin.empty()) {
+        fault(node.place("pin", i), node.path("pin"), "\"" + message.pin(i) + "\" is no pin",
+              "\"sha256/\" and 32 bytes in base 64");
+      }
+      out.pins.push_back(pin);
+    }
+    out.certificate = beside(node, text(node, "certificate", ""));
+    out.key = beside(node, text(node, "key", ""));
+    if (out.certificate.empty() != out.key.empty()) {
+      fault(node.where, node.path(out.key.empty() ? "key" : "certificate"), "it is missing", "a certificate with its key");
+    }
+    out.crl = beside(node, text(node, "crl", ""));
+    for (int i = 0; i < message.alpn_size(); ++i) {
+      if (message.alpn(i).empty() || message.alpn(i).size() > 255) {
+        fault(node.place("alpn", i), node.path("alpn"), "it is no protocol's name", "1 to 255 bytes");
+      }
+      out.alpn.push_back(message.alpn(i));
+    }
+    const auto one_of = [&](const char* field, const char* usual, const char* other) {
+      const auto given = text(node, field, usual);
+      if (given != usual && given != other) {
+        fault(node.place(field), node.path(field), "\"" + given + "\" is not known",
+              std::string("\"") + usual + "\" or \"" + other + "\"");
+      }
+      return given == other;
+    };
+    out.tls13_only = one_of("lowest", "1.2", "1.3");
+    out.verify = !one_of("verification", "full", "none");
+    if (!out.verify) {
+      fault(node.place("verification"), node.path("verification"),
+            "certificates are not verified: anybody may answer in the server's place", "", true);
+    } else if (out.trust.empty()) {
+      fault(node.where, node.path("trust"), "it is missing", "a file with the authorities that are trusted");
+    }
+    out.handshake_ms = duration(node, "handshake", 50, 30 * second, 2 * second);
+    if (node.has("most_age")) out.most_age_ms = duration(node, "most_age", second, 24 * 60 * minute, 0);
+    out.connections = count(node, "connections", 1, 64, 2);
+    return out;
+  }
+
+  void read_handshakes() {
+    static const config::v1::Handshakes none;
+    Node node;
+    node.message = &none;
+    node.key = "handshakes";
+    if (const auto* from = single("handshakes")) node = from->inner("handshakes", -1);
+    auto& out = config_.handshakes;
+    out.routers = config_.settings.controllers;
+    out.share = share(node, "share", 0.01, out.share);
+    out.full_cost = duration(node, "full_cost", 0.01, second, out.full_cost);
+    out.resumed_cost = duration(node, "resumed_cost", 0.01, second, out.resumed_cost);
+    out.most_in_all = count(node, "most_in_all", 1, 1000, out.most_in_all);
+    out.slow = duration(node, "slow", 1, 10 * second, out.slow);
+  }
+
   void read_decisions() {
     static const config::v1::Decisions none;
     Node node;
--- a/src/config/sources.cpp
+++ b/src/config/sources.cpp
@@ -105,7 +105,7 @@
     if (key == each) return units::share_form;
   }
   for (const char* each : {"aim", "give_up", "deadline", "retry_wait", "fetch_every", "heartbeat", "release_wait",
-                           "step", "cold_time"}) {
+                           "step", "cold_time", "handshake", "most_age", "full_cost", "resumed_cost", "slow"}) {
     if (key == each) return units::duration_form;
   }
   return key == "rate" ? units::rate_form : nullptr;
--- a/src/config_commands.cpp
+++ b/src/config_commands.cpp
@@ -11,6 +11,8 @@
 #include "config/site_diff.hpp"
 #include "config/site_reader.hpp"
 #include "config/sources.hpp"
+#include "core/clock.hpp"
+#include "net/tls/context.hpp"
 
 namespace heathturn {
 namespace {
@@ -22,11 +24,25 @@
   if (faults.left_out() > 0) std::fprintf(to, "and %zu more\n", faults.left_out());
 }
 
+/// The files that TLS needs, as a start of the program would find them.
+void check_tls(const EnumConfig& config, Faults& faults) {
+  for (const auto& pool : config.pools) {
+    if (!pool.tls) continue;
+    try {
+      const tls::Context context(*pool.tls, Clock().now());
+    } catch (const std::exception& error) {
+      faults.add({config.files[pool.where.file], static_cast<int>(pool.where.line), static_cast<int>(pool.where.column),
+                  "pool." + pool.name + ".tls", error.what(), "", false});
+    }
+  }
+}
+
 int check(const std::vector<std::string>& files, const std::string& platform, bool strict) {
   int status = in_order;
   for (const auto& file : files) {
     Faults faults;
     const auto config = read_site(file, faults);
+    if (!faults.any_error()) check_tls(config, faults);
     print(stdout, faults);
     if (faults.any_error() || (strict && !faults.all().empty())) {
       status = has_faults;
--- a/src/enum/enum_service.cpp
+++ b/src/enum/enum_service.cpp
@@ -1,6 +1,7 @@
 #include "enum/enum_service.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <thread>
 #include <utility>
@@ -12,6 +13,35 @@
 
 constexpr double poll_ms = 5;
 constexpr std::size_t most_told = 50;  // changes in the log at one reload
+constexpr double day_ms = 86400000;
+constexpr double expiry_every_ms = 3600000;
+constexpr int expiry_days[] = {1, 7, 30};
+
+/// TLS of each pool. One whose settings and files are the same as before goes on, with its sessions. Throws
+/// InputError naming pool and file.
+Upstreams::Contexts make_contexts(const EnumConfig& config, const std::vector<std::string>& names,
+                                  const Upstreams::Contexts& before, double now) {
+  Upstreams::Contexts out;
+  for (const auto& pool : config.pools) {
+    out.emplace_back();
+    if (!pool.tls) continue;
+    try {
+      out.back() = std::make_shared<tls::Context>(*pool.tls, now);
+    } catch (const std::exception& error) {
+      throw InputError(where_text(config, pool.where) + ": pool." + pool.name + ".tls: " + error.what());
+    }
+    const auto same = std::find(names.begin(), names.end(), pool.name);
+    const auto old = same == names.end() ? nullptr : before[static_cast<std::size_t>(same - names.begin())];
+    if (old && old->config() == *pool.tls && old->digest() == out.back()->digest()) out.back() = old;
+  }
+  return out;
+}
+
+std::vector<std::string> pool_names(const EnumConfig& config) {
+  std::vector<std::string> out;
+  for (const auto& each : config.pools) out.push_back(each.name);
+  return out;
+}
 
 }  // namespace
 
@@ -21,7 +51,9 @@
       path_(std::move(path)),
       router_(program.clock(), program.deadlines(), config_->settings, seed),
       selector_(config_),
-      upstreams_(program.clock(), program.net(), program.datagrams(), router_),
+      upstreams_(program.clock(), program.deadlines(), program.net(), program.datagrams(), router_,
+                 config_->handshakes, seed),
+      contexts_(make_contexts(*config_, {}, {}, program.clock().now())),
       front_(program.clock(), program.deadlines(), program.net(), program.datagrams(), router_, selector_, config_),
       longest_ms_(config_->longest_deadline_ms) {
   router_.set_carrier(upstreams_);
@@ -59,7 +91,7 @@
   }
   selector_.list(by_pool);
   for (auto& each : servers) each.converter.entry.number = selector_.number_of(each.converter.name);
-  upstreams_.update(servers, std::move(limits));
+  upstreams_.update(servers, std::move(limits), contexts_);
 }
 
 /// The new version is read and compared beside the loop, and taken in one turn of it, or not at all.
@@ -69,13 +101,14 @@
     return;
   }
   loading_ = std::make_shared<Loading>();
-  std::thread([loading = loading_, path = path_, old = config_] {
+  std::thread([loading = loading_, path = path_, old = config_, contexts = contexts_, now = program_.clock().now()] {
     try {
       loading->config = std::make_shared<const EnumConfig>(load_site(path));
       loading->difference = diff_sites(*old, *loading->config);
       for (const auto& change : loading->difference.changes) {
         if (change.restart) throw InputError(change.text + "; it takes a restart, and nothing of the file is taken");
       }
+      loading->contexts = make_contexts(*loading->config, pool_names(*old), contexts, now);
       loading->prepared = routes::Selector::prepare(loading->config);
     } catch (const std::exception& error) {
       loading->fault = error.what();
@@ -97,6 +130,12 @@
 }
 
 void EnumService::take(Loading& loading) {
+  for (std::size_t i = 0; i < loading.contexts.size(); ++i) {
+    if (loading.contexts[i] == nullptr) continue;
+    const bool kept = std::find(contexts_.begin(), contexts_.end(), loading.contexts[i]) != contexts_.end();
+    if (!kept) program_.log(LogLevel::info, "tls_taken", {{"pool", loading.config->pools[i].name}});
+  }
+  contexts_ = loading.contexts;
   config_ = loading.config;
   selector_.use(*loading.prepared);
   front_.use(config_);
@@ -116,7 +155,29 @@
   }
 }
 
+/// Once for each of the days set, of every file held.
+void EnumService::warn_of_expiry() {
+  const double now = program_.clock().now();
+  for (const auto& context : contexts_) {
+    if (context == nullptr) continue;
+    for (const auto& [what, not_after] : context->held()) {
+      const double left = (not_after - now) / day_ms;
+      const auto* days = std::find_if(std::begin(expiry_days), std::end(expiry_days), [left](int each) { return left <= each; });
+      if (days == std::end(expiry_days)) {
+        warned_.erase(what);
+        continue;
+      }
+      const auto [it, fresh] = warned_.try_emplace(what, *days);
+      if (!fresh && it->second <= *days) continue;
+      it->second = *days;
+      program_.log(LogLevel::warn, "certificate_expires", {{"what", what}, {"days_left", static_cast<int>(std::floor(left))}});
+    }
+  }
+  program_.deadlines().set(now + expiry_every_ms, [this] { warn_of_expiry(); });
+}
+
 void EnumService::start() {
+  warn_of_expiry();
   router_.start();
   list_members();
   const auto own = front_.listen();
--- a/src/enum/enum_service.hpp
+++ b/src/enum/enum_service.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <map>
 #include <memory>
 
 #include "config/site_diff.hpp"
@@ -34,12 +35,14 @@
     std::atomic<bool> done{false};
     std::shared_ptr<const EnumConfig> config;
     std::shared_ptr<routes::Selector::Prepared> prepared;
+    Upstreams::Contexts contexts;
     SiteDifference difference;
     std::string fault;
   };
   void poll_loading(const std::function<void(const std::string&)>& done);
   void take(Loading& loading);
   void list_members();
+  void warn_of_expiry();
 
   Program& program_;
   std::shared_ptr<const EnumConfig> config_;
@@ -47,11 +50,13 @@
   Router router_;
   routes::Selector selector_;
   Upstreams upstreams_;
+  Upstreams::Contexts contexts_;  ///< of each pool
   EnumFront front_;
   std::vector<std::unique_ptr<EurekaClient>> registries_;
   std::shared_ptr<Loading> loading_;
   bool load_again_ = false;  ///< asked for while one was under way
   double longest_ms_ = 0;
+  std::map<std::string, int> warned_;  ///< days last told of, by file
 };
 
 }  // namespace heathturn
--- a/src/enum/upstreams.cpp
+++ b/src/enum/upstreams.cpp
@@ -8,8 +8,13 @@
 
 using namespace maddershed;
 
-Upstreams::Upstreams(Clock& clock, Connections& net, Datagrams& datagrams, Router& router)
-    : clock_(clock), net_(net), datagrams_(datagrams), router_(router) {}
+Upstreams::Upstreams(Clock& clock, Deadlines& deadlines, Connections& net, Datagrams& datagrams, Router& router,
+                     const handshakes::Settings& handshakes, std::uint64_t seed)
+    : clock_(clock),
+      net_(net),
+      datagrams_(datagrams),
+      router_(router),
+      links_(clock, deadlines, net, handshakes, seed, *this) {}
 
 /// A server that has gone for good and comes back is a new one to the module.
 ExchangeId Upstreams::id_of(const std::string& name) {
@@ -18,7 +23,8 @@
   return it->second;
 }
 
-void Upstreams::update(const std::vector<Listed>& list, std::vector<std::uint32_t> pool_limits) {
+void Upstreams::update(const std::vector<Listed>& list, std::vector<std::uint32_t> pool_limits,
+                       const Contexts& contexts) {
   const bool other_pools = pool_limits.size() != pools_.size() ||
                            !std::equal(pools_.begin(), pools_.end(), pool_limits.begin(),
                                        [](const PoolRoom& room, std::uint32_t most) { return room.most == most; });
@@ -41,6 +47,12 @@
     server.converter = std::move(converter);
     server.pool = each.pool;
     server.listed = true;
+    server.secured = contexts[each.pool] != nullptr;
+    const auto id = server.converter.entry.exchange;
+    if (server.secured) links_.listed(id, server.converter.address, server.converter.name, contexts[each.pool]);
+  }
+  for (const auto& [id, server] : servers_) {
+    if (!server.listed || !server.secured) links_.unlisted(id);
   }
   forget_gone();
   router_.directory(update);
@@ -89,8 +101,10 @@
     return router_.ended(attempt, {.result = Result::not_sent, .cause = Cause::no_circuit});
   }
   const auto asked = dns::read_message(request.body);
-  const auto socket = datagrams_.connect(server.converter.address, *this);
-  if (!asked || socket == no_handle) return router_.ended(attempt, {.result = Result::connect_failed});
+  const auto socket = server.secured ? no_handle : datagrams_.connect(server.converter.address, *this);
+  if (!asked || (socket == no_handle && !server.secured)) {
+    return router_.ended(attempt, {.result = Result::connect_failed});
+  }
   LookUp look_up;
   look_up.exchange = exchange;
   look_up.pool = server.pool;
@@ -100,10 +114,15 @@
   look_up.socket = socket;
   look_up.due = clock_.now() + left_ms;
   const auto bytes = dns::write_message(look_up.query);
+  const double due = look_up.due;
   look_ups_[attempt] = std::move(look_up);
-  by_socket_[socket] = attempt;
   ++server.out;
   if (server.pool < pools_.size()) ++pools_[server.pool].out;
+  if (server.secured) {
+    tell_group(exchange);
+    return links_.send(attempt, exchange, due);
+  }
+  by_socket_[socket] = attempt;
   if (!datagrams_.send(socket, bytes)) return end(attempt, Result::connect_failed);
   tell_group(exchange);
 }
@@ -113,8 +132,12 @@
   if (it == look_ups_.end()) return;
   const auto look_up = std::move(it->second);
   look_ups_.erase(it);
-  by_socket_.erase(look_up.socket);
-  datagrams_.close(look_up.socket);
+  if (look_up.socket == no_handle) {
+    links_.give_up(attempt);
+  } else {
+    by_socket_.erase(look_up.socket);
+    datagrams_.close(look_up.socket);
+  }
   if (look_up.connection != no_handle) {
     by_connection_.erase(look_up.connection);
     net_.close(look_up.connection, reason::finished);
@@ -172,13 +195,37 @@
   if (reply->rcode != dns::rcode::no_error && reply->rcode != dns::rcode::nx_domain) {
     return end(attempt, Result::error);
   }
-  const auto exchange = look_up.exchange;
+  deliver(attempt, bytes);
+}
+
+void Upstreams::deliver(Handle attempt, const std::string& bytes) {
+  const auto exchange = look_ups_[attempt].exchange;
   forget(attempt);
   router_.stands(attempt, bytes);
   router_.ended(attempt, {.result = Result::ended});
   tell_group(exchange);
 }
 
+std::string Upstreams::query_for(Handle attempt, std::uint16_t id) {
+  auto& query = look_ups_[attempt].query;
+  query.id = id;
+  return dns::write_message(query);
+}
+
+/// On a connection that is verified whole, what does not fit is the server's own fault.
+void Upstreams::on_dot_answer(Handle attempt, const std::string& message) {
+  const auto reply = dns::read_message(message);
+  const auto& query = look_ups_[attempt].query;
+  const bool fits = reply && reply->response && reply->opcode == 0 && !reply->truncated && reply->question &&
+                    reply->question->same(*query.question);
+  if (!fits || (reply->rcode != dns::rcode::no_error && reply->rcode != dns::rcode::nx_domain)) {
+    return end(attempt, Result::error);
+  }
+  deliver(attempt, message);
+}
+
+void Upstreams::on_dot_failed(Handle attempt, Result result) { end(attempt, result); }
+
 void Upstreams::on_connected(Handle connection) {
   const auto it = by_connection_.find(connection);
   if (it == by_connection_.end()) return net_.close(connection, reason::finished);
--- a/src/enum/upstreams.hpp
+++ b/src/enum/upstreams.hpp
@@ -9,22 +9,27 @@
 
 #include "core/router.hpp"
 #include "enum/dns.hpp"
+#include "enum/dot_links.hpp"
 #include "net/connections.hpp"
 #include "net/datagrams.hpp"
 #include "service.hpp"
 
 namespace heathturn {
 
-class Upstreams : public Carrier, public ConnectionUser, public DatagramUser {
+class Upstreams : public Carrier, public ConnectionUser, public DatagramUser, public DotUser {
  public:
-  Upstreams(Clock& clock, Connections& net, Datagrams& datagrams, Router& router);
+  Upstreams(Clock& clock, Deadlines& deadlines, Connections& net, Datagrams& datagrams, Router& router,
+            const handshakes::Settings& handshakes, std::uint64_t seed);
   /// The whole list: those it leaves out are gone.
   /// `pool_limits`: look-ups out at once in each pool, 0 for no limit; each server is told with its pool.
   struct Listed {
     Converter converter;
     std::uint32_t pool = 0;
   };
-  void update(const std::vector<Listed>& list, std::vector<std::uint32_t> pool_limits);
+  /// `contexts`: of each pool, null where its look-ups go in plain.
+  using Contexts = std::vector<std::shared_ptr<tls::Context>>;
+  void update(const std::vector<Listed>& list, std::vector<std::uint32_t> pool_limits, const Contexts& contexts);
+  [[nodiscard]] const DotLinks& links() const { return links_; }
   [[nodiscard]] std::vector<ConverterView> view() const;
 
   void send(Handle attempt, ExchangeId exchange, const Request& request, double left_ms) override;
@@ -38,12 +43,17 @@
   void on_input(Handle connection, evbuffer* in) override;
   void on_ended(Handle connection, const char* reason) override;
 
+  std::string query_for(Handle attempt, std::uint16_t id) override;
+  void on_dot_answer(Handle attempt, const std::string& message) override;
+  void on_dot_failed(Handle attempt, maddershed::Result result) override;
+
  private:
   struct Server {
     Converter converter;
     std::uint32_t pool = 0;
     std::uint32_t out = 0;
     bool listed = false;
+    bool secured = false;  ///< asked over TLS
   };
   struct PoolRoom {
     std::uint32_t most = 0;  ///< 0: no limit
@@ -65,12 +75,14 @@
   void forget(Handle attempt);
   void end(Handle attempt, maddershed::Result result, maddershed::Cause cause = maddershed::Cause::none);
   void take_answer(Handle attempt, const std::string& bytes, bool over_tcp);
+  void deliver(Handle attempt, const std::string& bytes);
   std::uint16_t unpredictable() { return static_cast<std::uint16_t>(random_()); }
 
   Clock& clock_;
   Connections& net_;
   Datagrams& datagrams_;
   Router& router_;
+  DotLinks links_;
   std::random_device random_;  // the system's own source, which no answer seen before foretells
   std::map<std::string, ExchangeId> ids_;
   std::uint32_t last_id_ = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 #include "config_commands.hpp"
 #include "console/console.hpp"
 #include "enum/enum_service.hpp"
+#include "experiment_commands.hpp"
 #include "platform/platform_service.hpp"
 #include "program.hpp"
 
@@ -98,6 +99,7 @@
   console->callback([&] { status = run_console(socket, command); });
 
   add_config_commands(app, status);
+  add_experiment_commands(app, status);
   app.add_subcommand("version", "Print the version")->callback([] { std::printf("heathturn %s\n", version); });
   app.footer("`heathturn COMMAND --help` has each command's options and exit statuses.");
   try {
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -1,5 +1,6 @@
 #include "net/connections.hpp"
 
+#include <event2/bufferevent_ssl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -9,6 +10,7 @@
 #include <cerrno>
 #include <cstring>
 #include <map>
+#include <new>
 #include <stdexcept>
 
 namespace heathturn {
@@ -82,12 +84,36 @@
 }
 
 Handle Connections::connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms) {
-  bufferevent* stream =
-      bufferevent_socket_new(base_.get(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   Connection connection;
   connection.user = &user;
   connection.side = side;
+  return begin(bufferevent_socket_new(base_.get(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS),
+               std::move(connection), to, timeout_ms);
+}
+
+Handle Connections::connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms,
+                            const Secured& secured, bool& offered) {
+  Connection connection;
+  connection.user = &user;
+  connection.side = side;
+  connection.context = secured.context;
+  connection.secured = std::make_shared<tls::Context::Connection>();
+  connection.secured->id = secured.id;
+  connection.secured->name = secured.name;
+  SSL* ssl = secured.context->open(*connection.secured, to, offered);
+  bufferevent* stream =
+      ssl == nullptr ? nullptr
+                     : bufferevent_openssl_socket_new(base_.get(), -1, ssl, BUFFEREVENT_SSL_CONNECTING,
+                                                      BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  if (stream == nullptr) throw std::bad_alloc();
+  // A peer that closes without a word of it is told of as such; what had come by then is whole or it is not.
+  bufferevent_openssl_set_allow_dirty_shutdown(stream, 0);
+  return begin(stream, std::move(connection), to, timeout_ms);
+}
+
+Handle Connections::begin(bufferevent* stream, Connection connection, const Address& to, double timeout_ms) {
   connection.peer = to.text();
+  connection.address = to;
   const auto handle = adopt(stream, std::move(connection));
   const auto address = to.to_sockaddr();
   // A socket may be lacking, or the refusal come at once: the user hears of it later, never from in here.
@@ -97,11 +123,39 @@
     return handle;
   }
   no_delay(bufferevent_getfd(stream));
-  table_.find(handle)->timeout =
-      deadlines_.set(clock_.now() + timeout_ms, [this, handle] { drop(handle, reason::connect_timeout); });
+  table_.find(handle)->timeout = deadlines_.set(clock_.now() + timeout_ms, [this, handle] {
+    const auto* late = table_.find(handle);
+    // Its handshake begins when the connection is up.
+    const bool stalled = late->secured != nullptr && SSL_in_before(bufferevent_openssl_get_ssl(late->stream)) == 0;
+    drop(handle, stalled ? tls::reason::stalled : reason::connect_timeout);
+  });
   return handle;
 }
 
+bool Connections::resumed(Handle handle) {
+  const auto* connection = table_.find(handle);
+  return connection != nullptr && connection->secured != nullptr &&
+         SSL_session_reused(bufferevent_openssl_get_ssl(connection->stream)) == 1;
+}
+
+double Connections::shown_not_after(Handle handle) {
+  const auto* connection = table_.find(handle);
+  return connection == nullptr || connection->secured == nullptr ? 0 : connection->secured->shown_not_after;
+}
+
+/// A peer that was not accepted, with what it has shown.
+void Connections::log_refused(const Connection& connection, const char* why) {
+  const auto& secured = *connection.secured;
+  log_(LogLevel::warn, "tls_refused",
+       {{"converter", secured.name},
+        {"peer", connection.peer},
+        {"reason", why},
+        {"subject", secured.shown.subject},
+        {"issuer", secured.shown.issuer},
+        {"not_before", secured.shown.not_before},
+        {"not_after", secured.shown.not_after}});
+}
+
 Address Connections::listen(const Address& at, ConnectionUser& user, const char* side, const Bounds& bounds) {
   const auto address = at.to_sockaddr();
   evconnlistener* handle = evconnlistener_new_bind(
@@ -316,6 +370,12 @@
         {"peer", connection->peer},
         {"reason", why},
         {"after_ms", static_cast<long long>(clock_.now() - connection->since)}});
+  if (connection->secured != nullptr && connection->connected) {
+    // Told in TLS's own words where that can be done at once; without them OpenSSL would spoil the session.
+    SSL* ssl = bufferevent_openssl_get_ssl(connection->stream);
+    if (why == reason::finished) SSL_shutdown(ssl);
+    SSL_set_shutdown(ssl, SSL_SENT_SHUTDOWN | SSL_RECEIVED_SHUTDOWN);
+  }
   bufferevent_free(connection->stream);
   hooks_.erase(handle);
   table_.erase(handle);
@@ -346,12 +406,30 @@
   auto* connection = table_.find(handle);
   if (connection == nullptr) return;
   if ((what & BEV_EVENT_CONNECTED) != 0) {
+    if (connection->secured != nullptr) {
+      const char* why = tls::Context::accept(bufferevent_openssl_get_ssl(connection->stream), *connection->secured);
+      if (why != nullptr) {
+        log_refused(*connection, why);
+        return drop(handle, why);
+      }
+    }
     connection->connected = true;
     deadlines_.cancel(connection->timeout);
     bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
     connection->user->on_connected(handle);
     return;
   }
+  if (connection->secured != nullptr && (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    const auto fault = bufferevent_get_openssl_error(connection->stream);
+    auto* ssl = bufferevent_openssl_get_ssl(connection->stream);
+    // Refused before the handshake: it is no fault of TLS.
+    const bool came_up = SSL_in_before(ssl) == 0;
+    const char* why = came_up ? tls::Context::reason_of(ssl, *connection->secured, fault) : nullptr;
+    if (why != nullptr) {
+      log_refused(*connection, why);
+      return drop(handle, why);
+    }
+  }
   if ((what & BEV_EVENT_EOF) != 0) return drop(handle, reason::peer_closed);
   if ((what & BEV_EVENT_ERROR) != 0) {
     const char* why = reason_of(error);
--- a/src/net/connections.hpp
+++ b/src/net/connections.hpp
@@ -18,6 +18,7 @@
 #include "net/address.hpp"
 #include "log/event.hpp"
 #include "net/framing.hpp"
+#include "net/tls/context.hpp"
 
 namespace heathturn {
 
@@ -68,6 +69,19 @@
 
   /// `side` names the kind of peer in the log.
   Handle connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms);
+  /// The same with TLS: `timeout_ms` bounds the handshake too, and on_connected() comes after it. The id and name
+  /// are the converter's; its own session is taken up again where there is one. `offered`: there was one.
+  struct Secured {
+    std::shared_ptr<tls::Context> context;
+    std::uint32_t id = 0;
+    std::string name;
+  };
+  Handle connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms, const Secured& secured,
+                 bool& offered);
+  /// Of an open TLS connection: its session was taken up again.
+  [[nodiscard]] bool resumed(Handle connection);
+  /// When the certificate ends that the peer has shown, Unix ms; 0 for none.
+  [[nodiscard]] double shown_not_after(Handle connection);
   /// What the peers of a listener may hold here.
   struct Bounds {
     std::size_t connections = 0;  ///< beyond, the idlest one makes room
@@ -126,6 +140,8 @@
     bool finishing = false;
     Listener* listener = nullptr;
     Deadlines::Key timeout;
+    std::shared_ptr<tls::Context> context;  ///< outlives what the SSL holds of it
+    std::shared_ptr<tls::Context::Connection> secured;
   };
   /// What a bufferevent's callbacks are given: it lives as long as the bufferevent.
   struct Hook {
@@ -134,6 +150,8 @@
   };
   void each(Handle connection, const std::function<Framed(std::string&)>& next, const Take& take);
   Handle adopt(bufferevent* stream, Connection connection);
+  Handle begin(bufferevent* stream, Connection connection, const Address& to, double timeout_ms);
+  void log_refused(const Connection& connection, const char* why);
   void bind(evconnlistener* handle, ConnectionUser& user, const char* side, const Bounds& bounds);
   bool make_room(Listener& listener);
   void accepted(Listener& listener, evutil_socket_t socket, sockaddr* from);
--- /dev/null
+++ b/tests/router/tls_test.cpp
@@ -0,0 +1,262 @@
+// DNS over TLS towards name servers of the test's own: who is taken, who is refused and how clearly, sessions,
+// certificates replaced in service.
+#include <sys/stat.h>
+
+#include <filesystem>
+
+#include "tls_stand_in.hpp"
+
+namespace heathturn::test {
+namespace {
+
+namespace fs = std::filesystem;
+
+/// Files of the test's authority, in a folder that goes with the object.
+struct Files {
+  fs::path folder;
+  Issued root = authority();
+  std::string trust;
+  Files() {
+    std::string name = "/tmp/heathturn-test-XXXXXX";
+    REQUIRE(::mkdtemp(name.data()) != nullptr);
+    folder = name;
+    trust = write("trust.pem", root.certificate_pem());
+  }
+  ~Files() { fs::remove_all(folder); }
+  Files(const Files&) = delete;
+  Files& operator=(const Files&) = delete;
+  std::string write(const std::string& name, const std::string& text, mode_t mode = 0600) const {
+    const auto path = (folder / name).string();
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << text;
+    ::chmod(path.c_str(), mode);
+    return path;
+  }
+};
+
+std::string tls_pool(const Address& at, const std::string& tls, const std::string& member = "secure") {
+  return "pool { name: \"p\" member { name: \"" + member + "\" address: \"" + at.text() + "\" } tls { " + tls + " } }\n";
+}
+std::string trusting(const Files& files, const std::string& more = "") {
+  return "trust: \"" + files.trust + "\" handshake: \"1s\" " + more;
+}
+const std::string to_p = "route { to { pool: \"p\" } }\n";
+/// What the first cannot answer is asked of a plain name server.
+const std::string p_then_plain =
+    "pool { name: \"q\" member { name: \"plain\" address: \"$0\" } }\nroute { to { pool: \"p\" } to { pool: \"q\" } }\n";
+
+bool served(const Enum& e, std::uint16_t id, const std::string& uri = "sip:tls@example.org") {
+  const auto answer = e.exchange(Enum::query(Enum::under(std::to_string(id % 10) + ".1"), id));
+  CHECK(answer.id == id);
+  return holds(answer, uri);
+}
+
+TEST_CASE("look-ups go over one verified connection, by address, by name, with ALPN and with a pin") {
+  const Files files;
+  Wanted wanted;
+  wanted.alternative = "IP:127.0.0.1,DNS:ns.example.org";
+  const auto own = issue(wanted, &files.root);
+  unsigned char base64[64];
+  const auto digest = tls::public_key_pin(own.certificate.get());
+  EVP_EncodeBlock(base64, reinterpret_cast<const unsigned char*>(digest.data()), static_cast<int>(digest.size()));
+  const auto pin = std::string("sha256/") + reinterpret_cast<const char*>(base64);
+  for (const auto& more : {std::string(), std::string("name: \"ns.example.org\""), std::string("alpn: \"dot\" lowest: \"1.3\""),
+                           "pin: \"" + pin + "\" pin: \"sha256/AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\""}) {
+    INFO(more);
+    TlsServer server(own, {.alpn = "dot"});
+    const Enum e(tls_pool(server.address(), trusting(files, more)) + to_p);
+    for (std::uint16_t id = 1; id <= 10; ++id) CHECK(served(e, id));
+    CHECK(server.connections == 1);
+    CHECK(server.answered == 10);
+  }
+  TlsServer old(own, {.highest = TLS1_2_VERSION});
+  const Enum e(tls_pool(old.address(), trusting(files)) + to_p);
+  CHECK(served(e, 1));
+}
+
+TEST_CASE("who is not the right one is refused by a reason of its own, and the next server is asked") {
+  const Files files;
+  const auto other = authority("another authority");
+  const auto good = issue(Wanted{}, &files.root);
+  struct Case {
+    const char* reason;
+    Issued own;
+    std::string more;
+    TlsServer::Behaviour behaviour{};
+  };
+  const auto with = [](auto change) {
+    Wanted wanted;
+    change(wanted);
+    return wanted;
+  };
+  const Case cases[] = {
+      {"tls_expired", issue(with([](auto& w) { w.from_days = -10, w.to_days = -2; }), &files.root), ""},
+      {"tls_not_yet_valid", issue(with([](auto& w) { w.from_days = 2, w.to_days = 9; }), &files.root), ""},
+      {"tls_wrong_name", issue(with([](auto& w) { w.alternative = "IP:127.0.0.9"; }), &files.root), ""},
+      {"tls_wrong_name", good, "name: \"ns.example.org\""},
+      {"tls_unknown_issuer", issue(Wanted{}, &other), ""},
+      {"tls_self_signed", issue(Wanted{}), ""},
+      {"tls_revoked", good, "crl: \"" + files.write("crl.pem", revocations(files.root, good)) + "\""},
+      {"tls_weak_key", issue(with([](auto& w) { w.key = rsa_key(1024); }), &files.root), ""},
+      {"tls_wrong_pin", good, "pin: \"sha256/AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\""},
+      {"tls_no_alpn", good, "alpn: \"dot\""},
+      {"tls_version", good, "lowest: \"1.3\"", {.highest = TLS1_2_VERSION}},
+      {"tls_broken_off", good, "", {.cut_after = 100}},
+  };
+  for (const auto& each : cases) {
+    INFO(each.reason);
+    TlsServer server(each.own, each.behaviour);
+    const Enum e(tls_pool(server.address(), trusting(files, each.more)) + p_then_plain);
+    e.ask(Enum::query(Enum::under("1.1"), 9));
+    const auto asked = e.asked(0);
+    e.send(0, asked, Enum::reply(asked.message, "sip:plain@example.org"));
+    CHECK(holds(e.answer(), "sip:plain@example.org"));
+    const auto line = e.program->log(std::string("event=tls_refused converter=secure peer=") + server.address().text() +
+                                     " reason=" + each.reason);
+    if (each.behaviour.cut_after == 0 && each.behaviour.highest == TLS1_3_VERSION) {
+      CHECK(line.find("CN=a name server") != std::string::npos);
+      CHECK(line.find("not_after=20") != std::string::npos);
+    }
+    CHECK(server.answered == 0);
+  }
+}
+
+TEST_CASE("a peer that answers in plain text, or stalls, is refused as such") {
+  const Files files;
+  {
+    const auto listener = Socket::bound(SOCK_STREAM);
+    const Enum e(tls_pool(listener.address(), trusting(files)) + p_then_plain);
+    e.ask(Enum::query(Enum::under("1.1"), 9));
+    const auto plain = listener.accept();
+    plain.write("HTTP/1.1 400 Bad Request\r\n\r\n");
+    e.program->log("reason=tls_plain_text");
+  }
+  const auto listener = Socket::bound(SOCK_STREAM);
+  const Enum e(tls_pool(listener.address(), trusting(files, "").replace(trusting(files).find("1s"), 2, "100ms")) + p_then_plain);
+  e.ask(Enum::query(Enum::under("1.1"), 9));
+  const auto silent = listener.accept();
+  e.program->log("reason=tls_stalled");
+}
+
+TEST_CASE("a handshake cut off at any byte costs no look-up its answer, and the program goes on") {
+  const Files files;
+  const auto own = issue(Wanted{}, &files.root);
+  // The server's part of this handshake has about 740 bytes.
+  for (std::size_t bytes = 1; bytes < 640; bytes += bytes < 8 ? 1 : 149) {
+    INFO(bytes);
+    TlsServer server(own, {.cut_after = bytes});
+    const Enum e(tls_pool(server.address(), trusting(files)) + p_then_plain);
+    e.ask(Enum::query(Enum::under("1.1"), 9));
+    const auto asked = e.asked(0);
+    e.send(0, asked, Enum::reply(asked.message, "sip:plain@example.org"));
+    CHECK(holds(e.answer(), "sip:plain@example.org"));
+    CHECK(server.answered == 0);
+  }
+}
+
+TEST_CASE("a session is taken up again by its own server only, until its tickets are rotated") {
+  const Files files;
+  const auto own = issue(Wanted{}, &files.root);
+  for (const int version : {TLS1_2_VERSION, TLS1_3_VERSION}) {
+    INFO(version);
+    TlsServer server(own, {.highest = version, .close_after_one = true});
+    const Enum e(tls_pool(server.address(), trusting(files)) + to_p);
+    for (std::uint16_t id = 1; id <= 4; ++id) {
+      CHECK(served(e, id));
+      e.program->log("event=connection_ended side=upstream");
+    }
+    CHECK(server.full == 1);
+    CHECK(server.resumed == 3);
+    server.rotate_tickets();
+    CHECK(served(e, 5));
+    e.program->log("event=connection_ended side=upstream");
+    CHECK(server.full == 2);
+    CHECK(served(e, 6));
+    e.program->log("event=connection_ended side=upstream");
+    CHECK(server.resumed == 4);
+    // Another server has come to the address: nothing of the old one is shown to it.
+    e.file->write(Enum::front() + tls_pool(server.address(), trusting(files), "successor") + to_p);
+    e.program->signal(SIGHUP);
+    e.program->log("event=configuration_taken");
+    CHECK(served(e, 7));
+    CHECK(server.full == 3);
+    CHECK(server.resumed == 4);
+  }
+}
+
+TEST_CASE("an own certificate is shown where it is asked for; files that do not fit are named, at a start and a reload") {
+  const Files files;
+  Wanted wanted;
+  wanted.name = "this router";
+  const auto client = issue(wanted, &files.root);
+  const auto certificate = files.write("own.pem", client.certificate_pem()), key = files.write("own.key", client.key_pem());
+  const auto mutual = "certificate: \"" + certificate + "\" key: \"" + key + "\"";
+  TlsServer server(issue(Wanted{}, &files.root), {.client_trust = files.trust});
+  {
+    const Enum e(tls_pool(server.address(), trusting(files, mutual)) + to_p);
+    CHECK(served(e, 1));
+    // Under load: another good set is taken, a bad one changes nothing, and no look-up is lost.
+    wanted.key = ec_key();
+    const auto next = issue(wanted, &files.root);
+    const auto reload = [&](const char* expected) {
+      e.program->signal(SIGHUP);
+      for (std::uint16_t id = 2; id < 30; ++id) CHECK(served(e, id));
+      return e.program->log(expected);
+    };
+    files.write("own.key", next.key_pem());
+    CHECK(reload("event=configuration_kept").find("the key does not match the certificate") != std::string::npos);
+    files.write("own.pem", next.certificate_pem());
+    reload("event=tls_taken pool=p");
+    files.write("own.key", next.key_pem(), 0644);
+    CHECK(reload("event=configuration_kept").find("others than its owner may use this key") != std::string::npos);
+    files.write("own.key", next.key_pem());
+    server.cut_all();
+    CHECK(served(e, 31));
+  }
+  {
+    const Enum e(tls_pool(server.address(), trusting(files)) + p_then_plain);
+    e.ask(Enum::query(Enum::under("1.1"), 9));
+    e.program->log("reason=tls_alert");
+  }
+  const auto starts = [&](const std::string& tls) {
+    const TempFile file(Enum::front() + tls_pool(server.address(), tls) + to_p);
+    Process program({"serve", "--site", file.path()});
+    const auto said = program.rest();
+    CHECK(program.wait() == 1);
+    Process check({"config", "check", file.path()});
+    CHECK(check.rest().find("pool.p.tls: ") != std::string::npos);
+    CHECK(check.wait() == 1);
+    return said;
+  };
+  CHECK(starts("trust: \"" + files.write("none.pem", "nothing") + "\"").find("it holds no certificate") != std::string::npos);
+  CHECK(starts("trust: \"/none.pem\"").find("cannot be read") != std::string::npos);
+  wanted.to_days = -1;
+  wanted.from_days = -3;
+  const auto old = issue(wanted, &files.root);
+  files.write("own.pem", old.certificate_pem());
+  files.write("own.key", old.key_pem());
+  CHECK(starts(trusting(files, mutual)).find("expired at ") != std::string::npos);
+}
+
+TEST_CASE("without verification anybody is taken, and the checker warns of it") {
+  const Files files;
+  TlsServer server(issue(Wanted{}), {});
+  const std::string tls = "verification: \"none\"";
+  const Enum e(tls_pool(server.address(), tls) + to_p);
+  CHECK(served(e, 1));
+  Process check({"config", "check", e.file->path()});
+  CHECK(check.rest().find("warning: pool.p.tls.verification: certificates are not verified") != std::string::npos);
+}
+
+TEST_CASE("connections of more than a set age are moved over, and no look-up notices") {
+  const Files files;
+  TlsServer server(issue(Wanted{}, &files.root), {});
+  const Enum e(tls_pool(server.address(), trusting(files, "most_age: \"1s\"")) + to_p);
+  std::uint16_t id = 0;
+  for (const double from = now_ms(); now_ms() - from < 2500;) CHECK(served(e, ++id));
+  CHECK(server.connections >= 2);
+  CHECK(server.connections <= 4);
+  CHECK(server.resumed >= 1);
+}
+
+}  // namespace
+}  // namespace heathturn::test
