TLS towards the platform's converters; a storm of 25 routers against one of our own

Change: `converters { tls { ... } }` in the operator's file; a file with nothing else has no ENUM front. Converters opens its connections as the admission allows and gives back what cannot wait. The stand-in plays a converter too.

--- a/src/config/explain.cpp
+++ b/src/config/explain.cpp
@@ -65,6 +65,7 @@
   if (number.empty() || number.find_first_not_of("0123456789") != std::string::npos) {
     throw InputError("\"" + number + "\" is no number; expected digits, the country's first");
   }
+  if (!config.has_front) throw InputError("the file has no ENUM front, and no numbers");
   const RouteTable table(config);
   routes::LookUp look_up;
   look_up.number = number;
--- a/src/config/site_diff.cpp
+++ b/src/config/site_diff.cpp
@@ -96,6 +96,7 @@
     value("site", "", "listen", a_.listen.text(), b_.listen.text(), true);
     value("site", "", "suffix", a_.suffix, b_.suffix);
     value("site", "", "console", quoted(a_.console), quoted(b_.console), true);
+    value("site", "", "converters' TLS", tls_text(a_.converter_tls), tls_text(b_.converter_tls));
     value("site", "", "time_zone", units::zone_text(a_.zone), units::zone_text(b_.zone));
   }
 
@@ -134,6 +135,7 @@
                 time("class", subject, "aim", a.aim, b.aim, true);
                 time("class", subject, "give_up", a.give_up, b.give_up, true);
               });
+    if (!a_.has_front || !b_.has_front) return;
     // Which numbers are of which class, by the effect and not by who says it.
     std::set<std::string> prefixes{""};
     for (const auto& each : a_.class_prefixes) prefixes.insert(each.prefix);
@@ -202,9 +204,9 @@
            units::number_text(from.weight);
   }
 
-  static std::string tls_text(const Pool& pool) {
-    if (!pool.tls) return "none";
-    const auto& tls = *pool.tls;
+  static std::string tls_text(const std::optional<tls::TlsConfig>& set) {
+    if (!set) return "none";
+    const auto& tls = *set;
     std::string out = tls.verify ? "verified" : "not verified";
     const auto add = [&out](const char* what, const std::string& value) {
       if (!value.empty()) out += std::string(", ") + what + " " + value;
@@ -226,7 +228,7 @@
     each_name("pool", a_.pools, b_.pools, false, [this](const std::string& subject, const Pool& a, const Pool& b) {
       value("pool", subject, "most_requests", limit_text(a.most_requests), limit_text(b.most_requests));
       value("pool", subject, "zones", zones_text(a.zones), zones_text(b.zones));
-      value("pool", subject, "TLS", tls_text(a), tls_text(b));
+      value("pool", subject, "TLS", tls_text(a.tls), tls_text(b.tls));
       value("pool", subject, "members from registry", from_text(a_, a), from_text(b_, b));
       std::map<std::string, const Member*> old, fresh;
       for (const auto& each : a.members) old[each.converter.name] = &each;
--- a/src/config/site_reader.cpp
+++ b/src/config/site_reader.cpp
@@ -126,7 +126,8 @@
 
   EnumConfig read() {
     if (!sources_.whole) return std::move(config_);
-    read_front();
+    read_converters();
+    if (config_.has_front) read_front();
     each("class", [this](const Node& node) { read_class(node); });
     each("tenant", [this](const Node& node) { read_tenant(node); });
     each("registry", [this](const Node& node) { read_registry(node); });
@@ -307,6 +308,19 @@
 
   // ---- The site ----------------------------------------------------------------------------------------
 
+  /// A file with nothing but what concerns the platform's converters has no ENUM front.
+  void read_converters() {
+    const auto* from = single("converters");
+    if (from == nullptr) return;
+    const auto node = from->inner("converters", -1);
+    if (node.has("tls")) config_.converter_tls = read_tls(node.inner("tls", -1));
+    config_.has_front = std::any_of(tops_.begin(), tops_.end(), [](const Node& top) {
+      const auto& message = static_cast<const config::v1::Site&>(*top.message);
+      return message.has_listen() || message.has_suffix() || message.class__size() > 0 || message.pool_size() > 0 ||
+             message.route_size() > 0;
+    });
+  }
+
   void read_front() {
     const auto& main = tops_.back();
     const auto* from = single("listen");
@@ -821,6 +835,7 @@
   // ---- The whole ---------------------------------------------------------------------------------------
 
   void require_some() {
+    if (!config_.has_front) return;
     const auto& main = tops_.back();
     const auto missing = [&](bool empty, const char* key, const char* expected) {
       if (empty && !faults_.any_error()) fault(main.where, key, "there is none", expected);
@@ -928,7 +943,7 @@
         config_.longest_deadline_ms = std::max(config_.longest_deadline_ms, config_.deadline_ms(policy, i));
       }
     }
-    if (faults_.any_error()) return;
+    if (faults_.any_error() || !config_.has_front) return;
     try {
       (void)CallController(config_.settings, 0);
     } catch (const std::exception& error) {
--- a/src/config_commands.cpp
+++ b/src/config_commands.cpp
@@ -26,15 +26,17 @@
 
 /// The files that TLS needs, as a start of the program would find them.
 void check_tls(const EnumConfig& config, Faults& faults) {
-  for (const auto& pool : config.pools) {
-    if (!pool.tls) continue;
+  const auto check = [&](const std::string& key, const std::optional<tls::TlsConfig>& set, const Where& where) {
+    if (!set) return;
     try {
-      const tls::Context context(*pool.tls, Clock().now());
+      const tls::Context context(*set, Clock().now());
     } catch (const std::exception& error) {
-      faults.add({config.files[pool.where.file], static_cast<int>(pool.where.line), static_cast<int>(pool.where.column),
-                  "pool." + pool.name + ".tls", error.what(), "", false});
+      faults.add({config.files[where.file], static_cast<int>(where.line), static_cast<int>(where.column), key,
+                  error.what(), "", false});
     }
-  }
+  };
+  for (const auto& pool : config.pools) check("pool." + pool.name + ".tls", pool.tls, pool.where);
+  check("converters.tls", config.converter_tls, {static_cast<std::uint32_t>(config.files.size() - 1), 1, 1});
 }
 
 int check(const std::vector<std::string>& files, const std::string& platform, bool strict) {
--- a/src/enum/dot_links.cpp
+++ b/src/enum/dot_links.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstring>
 
+#include "net/tls/ending.hpp"
+
 namespace heathturn {
 
 using maddershed::Result;
@@ -13,18 +15,6 @@
 constexpr std::size_t most_on_line = 64;  // look-ups out on one connection before another is wanted
 constexpr std::size_t most_message = 65535;
 
-Ending ending_of(const char* why) {
-  const std::string reason_text = why;
-  if (reason_text == reason::refused || reason_text == reason::unreachable || reason_text == reason::too_many) {
-    return Ending::refused;
-  }
-  if (reason_text == reason::connect_timeout || reason_text == tls::reason::stalled) return Ending::timed_out;
-  if (reason_text == reason::reset || reason_text == reason::peer_closed || reason_text == tls::reason::broken_off) {
-    return Ending::reset;
-  }
-  return Ending::not_verified;
-}
-
 }  // namespace
 
 DotLinks::DotLinks(Clock& clock, Deadlines& deadlines, Connections& net, const handshakes::Settings& settings,
@@ -220,7 +210,7 @@
   if (std::string(why).starts_with("tls_")) ++refusals_[why];
   const auto server = servers_.find(id);
   if (server != servers_.end()) std::erase(server->second.lines, connection);
-  const auto ending = ending_of(why);
+  const auto ending = tls::ending_of(why);
   if (line.open) {
     admission_.closed(id, now, is_reset && !line.asked.empty());
   } else {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -51,8 +51,8 @@
   bool working = false;
   try {
     Program program(log);
-    if (config) program.add(std::make_unique<PlatformService>(program, std::move(*config), words.config));
-    if (site) program.add(std::make_unique<EnumService>(program, std::move(*site), words.site, fresh_seed()));
+    if (config) program.add(std::make_unique<PlatformService>(program, std::move(*config), words.config, words.site));
+    if (site && site->has_front) program.add(std::make_unique<EnumService>(program, std::move(*site), words.site, fresh_seed()));
     std::optional<Console> console;
     if (!console_path.empty()) console.emplace(program, console_path, version);
     status = program.run();
@@ -77,7 +77,7 @@
   auto* serving =
       app.add_subcommand("serve", "Route calls and look-ups until SIGTERM; SIGHUP reads the files again");
   serving->add_option("--config", words.config, "The platform's configuration (default: $PROXY_CONFIG)");
-  serving->add_option("--site,--enum", words.site, "The operator's file, for the ENUM front; without it there is none");
+  serving->add_option("--site,--enum", words.site, "The operator's file: the ENUM front, TLS towards converters; without it there is neither");
   serving->add_option("--console", words.console, "Unix socket of the console; without it there is none");
   serving->add_option("--log-format", words.log_format, "kv or json (default: kv)")
       ->transform(CLI::CheckedTransformer(
--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <cstdio>
 
+#include "net/tls/ending.hpp"
+
 namespace heathturn {
 
 using namespace maddershed;
@@ -87,6 +89,10 @@
     if (restarted && converter.entry.started) router_.exchange_lost(id, to_ms(*converter.entry.started));
     // The own exchange is sent nothing, and has no group to tell of.
     link.own = converter.entry.number == config_.settings.home;
+    if (context_ && !link.own) {
+      const auto& started = converter.entry.started;
+      admission_->listed(id, clock_.now(), started ? std::optional(to_ms(*started)) : std::nullopt, held_connections);
+    }
     numbers_.insert(converter.entry.number);
     if (converter.entry.state != ExchangeState::ready || link.own) continue;
     for (std::size_t i = 0; i < held_connections; ++i) {
@@ -122,10 +128,47 @@
 
 // ---- Connections ----------------------------------------------------------------------------------------
 
+void Converters::secure(std::shared_ptr<tls::Context> context, const handshakes::Settings& settings) {
+  context_ = std::move(context);
+  if (admission_) return;
+  admission_ = std::make_unique<handshakes::Admission>(settings, config_.seed);
+}
+
+/// As the admission allows; no_handle when it must wait. What cannot wait with it is given back at once.
+Handle Converters::open_secured(Link& link, std::size_t line) {
+  const auto id = link.converter.entry.exchange;
+  const double now = clock_.now();
+  double latest = 0;
+  for (const auto attempt : link.waiting) latest = std::max(latest, attempts_[attempt].due);
+  const auto verdict = admission_->ask(id, now, context_->sessions().has(id.value), latest > 0 ? latest : 1e300);
+  if (verdict.admitted) {
+    link.lines[line].admitted = verdict.kind;
+    link.lines[line].since = now;
+    bool offered = false;
+    return net_.connect(link.converter.address, *this, "converter", context_->config().handshake_ms,
+                        {context_, id.value, link.converter.name}, offered);
+  }
+  open_at(link, line, verdict.ask_again);
+  const bool other_coming = std::any_of(link.lines.begin(), link.lines.end(),
+                                        [](const Line& l) { return l.connection != no_handle; });
+  if (other_coming) return no_handle;
+  std::vector<Handle> late;
+  for (const auto attempt : link.waiting) {
+    if (attempts_[attempt].due <= verdict.ask_again) late.push_back(attempt);
+  }
+  for (const auto attempt : late) {
+    forget(attempt);
+    router_.ended(attempt, {.result = Result::connect_failed});
+  }
+  return no_handle;
+}
+
 void Converters::open(Link& link, std::size_t line) {
   deadlines_.cancel(link.lines[line].retry);
   const auto connection =
-      net_.connect(link.converter.address, *this, "converter", config_.connect_timeout_ms);
+      context_ ? open_secured(link, line)
+               : net_.connect(link.converter.address, *this, "converter", config_.connect_timeout_ms);
+  if (connection == no_handle) return;
   link.lines[line].connection = connection;
   link.lines[line].open = false;
   lines_[connection] = {link.converter.entry.exchange, line};
@@ -134,8 +177,13 @@
 void Converters::open_later(Link& link, std::size_t line) {
   if (link.converter.entry.state == ExchangeState::gone) return;
   link.retry_ms = std::clamp(2 * link.retry_ms, retry_first_ms, retry_most_ms);
+  open_at(link, line, clock_.now() + link.retry_ms);
+}
+
+void Converters::open_at(Link& link, std::size_t line, double time) {
   const auto id = link.converter.entry.exchange;
-  link.lines[line].retry = deadlines_.set(clock_.now() + link.retry_ms, [this, id, line] {
+  deadlines_.cancel(link.lines[line].retry);
+  link.lines[line].retry = deadlines_.set(time, [this, id, line] {
     auto& later = links_[id];
     later.lines[line].retry = {};
     if (later.converter.entry.state != ExchangeState::gone && later.lines[line].connection == no_handle) {
@@ -163,6 +211,12 @@
 void Converters::on_connected(Handle connection) {
   const auto at = lines_[connection];
   auto& link = links_[at.exchange];
+  if (context_) {
+    const auto& line = link.lines[at.line];
+    const double now = clock_.now();
+    admission_->finished(at.exchange, now, line.admitted, handshakes::Ending::established, net_.resumed(connection),
+                         now - line.since);
+  }
   link.lines[at.line].open = true;
   link.lines[at.line].heard = clock_.now();
   link.retry_ms = 0;
@@ -173,10 +227,19 @@
   }
 }
 
-void Converters::on_ended(Handle connection, const char*) {
+void Converters::on_ended(Handle connection, const char* why) {
   const auto at = lines_[connection];
   lines_.erase(connection);
   auto& link = links_[at.exchange];
+  if (context_) {
+    const auto& line = link.lines[at.line];
+    const double now = clock_.now();
+    if (line.open) {
+      admission_->closed(at.exchange, now, std::string_view(why) == reason::reset);
+    } else {
+      admission_->finished(at.exchange, now, line.admitted, tls::ending_of(why), false, now - line.since);
+    }
+  }
   link.lines[at.line] = {};
   if (link.unreached == 0 && open_connection(link) == no_handle) link.unreached = clock_.now();
   std::vector<Handle> broken;
@@ -270,6 +333,10 @@
     if (line.connection != no_handle) net_.close(line.connection, reason::withdrawn);
     deadlines_.cancel(line.retry);
   }
+  if (context_) {
+    admission_->unlisted(id);
+    context_->sessions().drop(id.value);
+  }
   links_.erase(id);
 }
 
@@ -286,7 +353,7 @@
                     {"key", request.key},
                     {"left", std::to_string(std::lround(std::floor(left_ms)))}};
   message.text = request.body;
-  attempts_[attempt] = {exchange, request.name, no_handle, print_message(message)};
+  attempts_[attempt] = {exchange, request.name, no_handle, print_message(message), clock_.now() + left_ms};
   link.unheard.erase(request.name);  // an end said before must not follow the new attempt
   link.attempts[request.name] = attempt;
   if (const auto connection = open_connection(link); connection != no_handle) {
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -11,6 +11,7 @@
 
 #include "config/config.hpp"
 #include "core/router.hpp"
+#include "handshakes/admission.hpp"
 #include "net/connections.hpp"
 #include "net/framing.hpp"
 #include "platform/message.hpp"
@@ -34,6 +35,8 @@
     return numbers_.contains(number);
   }
   [[nodiscard]] std::vector<ConverterView> view() const;
+  /// Connections opened from now on speak TLS by this context, as the admission allows.
+  void secure(std::shared_ptr<tls::Context> context, const handshakes::Settings& settings);
 
   void send(Handle attempt, ExchangeId exchange, const Request& request, double left_ms) override;
   void give_up(Handle attempt) override;
@@ -54,6 +57,8 @@
     double told = 0;       ///< when the state of the group came last
     double tested_at = 0;  ///< a test is unanswered since; 0: none
     Deadlines::Key retry;
+    handshakes::Kind admitted = handshakes::Kind::full;  ///< with TLS
+    double since = 0;                                    ///< with TLS: when it was begun
   };
   struct Said {
     Handle connection = no_handle;
@@ -79,6 +84,7 @@
     std::string call;
     Handle connection = no_handle;  ///< none while it waits for one
     std::string line;
+    double due = 0;  ///< of no use after it
   };
   struct At {
     ExchangeId exchange;
@@ -86,6 +92,8 @@
   };
   void open(Link& link, std::size_t line);
   void open_later(Link& link, std::size_t line);
+  void open_at(Link& link, std::size_t line, double time);
+  Handle open_secured(Link& link, std::size_t line);
   void write_set_up(Handle attempt, Handle connection);
   void fail_waiting(Link& link);
   void on_message(Link& link, Handle connection, const Message& message);
@@ -110,6 +118,8 @@
   std::unordered_map<Handle, Out> attempts_;
   std::unordered_map<std::string, std::pair<ExchangeId, double>> probes_;  ///< by id: when sent
   std::uint64_t last_test_ = 0;
+  std::shared_ptr<tls::Context> context_;  ///< null: plain
+  std::unique_ptr<handshakes::Admission> admission_;
 };
 
 }  // namespace heathturn
--- a/src/platform/platform_service.cpp
+++ b/src/platform/platform_service.cpp
@@ -1,5 +1,9 @@
 #include "platform/platform_service.hpp"
 
+#include <algorithm>
+
+#include "config/site_reader.hpp"
+
 namespace heathturn {
 
 using maddershed::ExchangeNumber;
@@ -10,13 +14,15 @@
 
 }  // namespace
 
-PlatformService::PlatformService(Program& program, Config config, std::string path)
+PlatformService::PlatformService(Program& program, Config config, std::string path, std::string site)
     : program_(program),
       config_(std::move(config)),
       path_(std::move(path)),
+      site_(std::move(site)),
       router_(program.clock(), program.deadlines(), config_.settings, config_.seed),
       converters_(program.clock(), program.deadlines(), program.net(), router_, config_),
       callers_(program.clock(), program.deadlines(), program.net(), router_, config_) {
+  secure();
   program.net().set_most_unsent(config_.most_unsent);
   router_.set_carrier(converters_);
   router_.set_log(program.log_sink());
@@ -28,6 +34,18 @@
   });
 }
 
+/// A set of certificates that cannot be used changes nothing.
+void PlatformService::secure() {
+  if (site_.empty()) return;
+  const auto site = load_site(site_);
+  if (!site.converter_tls) return;
+  auto settings = site.handshakes;
+  settings.routers = config_.settings.controllers;
+  settings.start_capacity = std::max(0.01, config_.settings.start_capacity);
+  settings.cold_time = to_ms(config_.settings.cold_time);
+  converters_.secure(std::make_shared<tls::Context>(*site.converter_tls, program_.clock().now()), settings);
+}
+
 void PlatformService::start() {
   router_.start();
   converters_.update(config_.known, true);
@@ -56,6 +74,7 @@
 /// stays: the module's settings and the own address take a restart.
 void PlatformService::read_again() {
   const auto fresh = parse_config(read_file(path_));
+  secure();
   if (fresh.listen != config_.listen) program_.log(LogLevel::warn, "takes_restart", {{"front", kind()}, {"key", "listen"}});
   if (fresh.settings_text != config_.settings_text) program_.log(LogLevel::warn, "takes_restart", {{"front", kind()}, {"key", "settings"}});
   config_.sockets = fresh.sockets;
--- a/src/platform/platform_service.hpp
+++ b/src/platform/platform_service.hpp
@@ -12,8 +12,9 @@
 
 class PlatformService : public Service {
  public:
-  /// `path`: where the configuration was read, for reload().
-  PlatformService(Program& program, Config config, std::string path);
+  /// `path`: where the configuration was read, for reload(). `site`: the operator's file, if there is one, of
+  /// which the TLS towards converters is read. Throws InputError when its files are of no use.
+  PlatformService(Program& program, Config config, std::string path, std::string site = "");
   [[nodiscard]] const char* kind() const override { return "platform"; }
   void start() override;
   void reload(std::function<void(const std::string&)> done) override;
@@ -25,10 +26,11 @@
  private:
   void start_bus();
   void read_again();
+  void secure();
 
   Program& program_;
   Config config_;
-  std::string path_;
+  std::string path_, site_;
   Router router_;
   Converters converters_;
   Callers callers_;
--- a/tests/router/tls_test.cpp
+++ b/tests/router/tls_test.cpp
@@ -2,6 +2,7 @@
 // certificates replaced in service.
 #include <sys/stat.h>
 
+#include <chrono>
 #include <filesystem>
 
 #include "tls_stand_in.hpp"
@@ -258,5 +259,110 @@
   CHECK(server.resumed >= 1);
 }
 
+// ---- The platform's converters ----------------------------------------------------------------------------
+
+/// A converter's part on the platform's wire: free circuits, and an answer to each set-up.
+TlsServer::Behaviour converter() {
+  TlsServer::Behaviour out;
+  Message state;
+  state.op = Op::group;
+  state.fields = {{"load", "x0:10;x1:10"}};
+  out.greeting = print_message(state);
+  out.speak = [](std::string& input) {
+    std::string said;
+    for (auto end = input.find('\n'); end != std::string::npos; end = input.find('\n')) {
+      const auto message = parse_message(input.substr(0, end));
+      input.erase(0, end + 1);
+      Message answer;
+      answer.call = message.call;
+      answer.op = message.op == Op::test ? Op::tested : Op::accept;
+      if (message.op == Op::test) answer.why = 1;
+      if (message.op == Op::offer) answer.text = "d\r\nvia TLS";
+      if (message.op == Op::test || message.op == Op::offer) said += print_message(answer);
+    }
+    return said;
+  };
+  return out;
+}
+
+/// A configuration as the platform gives it, with one converter, which has just started.
+std::string platform_text(const Address& converter, int routers, int cold_ms, int seed = 1) {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  return R"({"name":"n0","listen":"127.0.0.1:0","seed":")" + std::to_string(seed) +
+         R"(","known":{"offset":1,"batch":[{"offset":1,"topology":{"snapshot":true,"endpoints":[{"name":"s-00000001","address":")" +
+         converter.text() + R"(","zone":"z","type":"t","group":1,"status":"in_service","weight":1,"since_ms":)" +
+         std::to_string(now.count()) + R"(}]}}]},"settings":{"balancers":)" + std::to_string(routers) +
+         R"(,"step_us":5000,"areas":["z"],"classes":[{"name":"voice","importance":1,"objective_us":1200000,"give_up_us":9000000}],
+         "specifics":{"network_form":"meshed","home_no":0,"guard_us":300000},
+         "invariants":{"start_capacity":0.3,"cold_us":)" + std::to_string(cold_ms * 1000) +
+         R"(,"fall_multiple":4,"overload_for_us":3000000},"limits":{"try_limit":6,"cancelling":true},
+         "stats":{"columns":["spare","total"]}}})";
+}
+
+TEST_CASE("the platform's converters are spoken to over TLS where the operator's file says so") {
+  const Files files;
+  TlsServer server(issue(Wanted{}, &files.root), converter());
+  const TempFile config(platform_text(server.address(), 1, 1)), site("converters { tls { " + trusting(files) + " } }\n");
+  Process program({"serve", "--config", config.path(), "--site", site.path()});
+  const auto callers = program.listening("caller");
+  auto caller = Socket::connect(callers);
+  Message offer;
+  offer.op = Op::offer;
+  offer.call = "9b1f03aa5c7e2d41";
+  offer.fields = {{"class", "voice"}, {"left", "3000"}, {"key", "7f3a9c21e0b4d655"}, {"extras", "dest:1;width:1;via:-1"}};
+  offer.text = "d\r\nof a call";
+  caller.say(offer);
+  const auto answer = caller.message();
+  CHECK(answer.op == Op::accept);
+  CHECK(answer.text == "d\r\nvia TLS");
+  program.signal(SIGHUP);
+  program.log("event=configuration_taken front=platform");
+  site.write("converters { tls { trust: \"/none.pem\" } }\n");
+  program.signal(SIGHUP);
+  CHECK(program.log("event=configuration_kept front=platform").find("/none.pem cannot be read") != std::string::npos);
+  Process check({"config", "check", site.path()});
+  CHECK(check.rest().find("converters.tls: /none.pem cannot be read") != std::string::npos);
+}
+
+/// 25 routers hold 50 connections to a converter that dies and is back at once, with nobody's session known.
+/// Returns the most full handshakes within a quarter of a second of its new life.
+std::size_t storm(const std::string& handshakes) {
+  constexpr int routers = 25;
+  const Files files;
+  TlsServer server(issue(Wanted{}, &files.root), converter());
+  const TempFile site(handshakes + "converters { tls { " + trusting(files) + " } }\n");
+  std::vector<std::unique_ptr<TempFile>> configs;
+  std::vector<std::unique_ptr<Process>> programs;
+  for (int i = 0; i < routers; ++i) {
+    // The platform gives each its own seed.
+    configs.push_back(std::make_unique<TempFile>(platform_text(server.address(), routers, 1500, 1000 + i)));
+    programs.push_back(std::make_unique<Process>(
+        std::vector<std::string>{"serve", "--config", configs.back()->path(), "--site", site.path()}));
+  }
+  const auto wait_for = [&](int handshakes_done) {
+    for (const double until = now_ms() + patience_ms; server.full + server.resumed < handshakes_done;) {
+      REQUIRE(now_ms() < until);
+      ::poll(nullptr, 0, 5);
+    }
+  };
+  wait_for(2 * routers);
+  server.rotate_tickets();
+  const double from = now_ms();
+  const int before = server.full;
+  server.cut_all();
+  wait_for(4 * routers);
+  CHECK(server.full - before >= routers);
+  return server.most_within(250, from);
+}
+
+TEST_CASE("50 connections of many routers that come back at once never press a converter beyond its budget") {
+  // 40% of the processor, at 10 ms for a full handshake: 10 in a quarter of a second.
+  const auto with = storm("handshakes { share: \"40%\" full_cost: \"10ms\" resumed_cost: \"1ms\" }\n");
+  CHECK(with <= 10);
+  // The same with an admission that admits all: they come at once.
+  const auto without = storm("handshakes { share: \"100%\" full_cost: \"0.01ms\" resumed_cost: \"0.01ms\" }\n");
+  CHECK(without > 20);
+}
+
 }  // namespace
 }  // namespace heathturn::test
