--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -1,6 +1,6 @@
-// Time and memory of the configuration tools on files of 100, 10,000 and 100,000 routes, as a user meets them:
-// the real program as a process. The last rows are of a reload in service: how long it takes, and for how long
-// the loop answered nobody meanwhile.
+// Time and memory of the configuration tools on files of 100, 10,000 and 100,000 routes, as a user meets
+// them: the real program as a process. The last rows are of a reload in service: how long it takes, and for
+// how long the loop answered nobody meanwhile.
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -112,7 +112,8 @@
   while (now_ms() - from < 20000 && (!taken || now_ms() - done < 50)) {
     const double asked = now_ms();
     char answer[512];
-    if (::send(resolver, query, sizeof query - 1, 0) < 0 || ::recv(resolver, answer, sizeof answer, 0) < 0) break;
+    if (::send(resolver, query, sizeof query - 1, 0) < 0 || ::recv(resolver, answer, sizeof answer, 0) < 0)
+      break;
     gaps.push_back(now_ms() - asked);
     const auto got = ::read(ends[0], answer, sizeof answer);
     if (got > 0) log.append(answer, static_cast<std::size_t>(got));
@@ -126,9 +127,11 @@
   rusage used{};
   int status = 0;
   ::wait4(child, &status, 0, &used);
-  std::printf("%-8s %8d routes %10.1f ms %8.1f MB at most, %s; answers meanwhile: %zu, median %.3f ms, slowest %.2f ms\n",
-              "reload", routes, done - from, static_cast<double>(used.ru_maxrss) / 1024, taken ? "taken" : "not taken",
-              gaps.size(), gaps[gaps.size() / 2], gaps.back());
+  std::printf(
+      "%-8s %8d routes %10.1f ms %8.1f MB at most, %s; answers meanwhile: %zu, median %.3f ms, slowest %.2f "
+      "ms\n",
+      "reload", routes, done - from, static_cast<double>(used.ru_maxrss) / 1024,
+      taken ? "taken" : "not taken", gaps.size(), gaps[gaps.size() / 2], gaps.back());
   ::close(resolver);
   ::close(ends[0]);
   ::close(ends[1]);
--- a/bench/routes_bench.cpp
+++ b/bench/routes_bench.cpp
@@ -67,34 +67,37 @@
 }
 
 void trie(benchmark::State& state) {
-  run<PrefixTrie>(state, [](const Entries& given) { return PrefixTrie(given); },
-                  [](const PrefixTrie& index, const std::string& number) { return index.longest(number); });
+  run<PrefixTrie>(
+      state, [](const Entries& given) { return PrefixTrie(given); },
+      [](const PrefixTrie& index, const std::string& number) { return index.longest(number); });
 }
 
 void ordered_map(benchmark::State& state) {
   using Map = std::map<std::string, std::uint32_t, std::less<>>;
-  run<Map>(state, [](const Entries& given) { return Map(given.begin(), given.end()); },
-           [](const Map& index, const std::string& number) {
-             for (auto length = number.size() + 1; length-- > 0;) {
-               const auto it = index.find(std::string_view(number).substr(0, length));
-               if (it != index.end()) return it->second;
-             }
-             return PrefixTrie::none;
-           });
+  run<Map>(
+      state, [](const Entries& given) { return Map(given.begin(), given.end()); },
+      [](const Map& index, const std::string& number) {
+        for (auto length = number.size() + 1; length-- > 0;) {
+          const auto it = index.find(std::string_view(number).substr(0, length));
+          if (it != index.end()) return it->second;
+        }
+        return PrefixTrie::none;
+      });
 }
 
 void linear_scan(benchmark::State& state) {
-  run<Entries>(state, [](const Entries& given) { return given; },
-               [](const Entries& index, const std::string& number) {
-                 std::uint32_t best = PrefixTrie::none;
-                 std::size_t longest = 0;
-                 for (const auto& [prefix, value] : index) {
-                   if (!number.starts_with(prefix) || prefix.size() < longest) continue;
-                   best = value;
-                   longest = prefix.size();
-                 }
-                 return best;
-               });
+  run<Entries>(
+      state, [](const Entries& given) { return given; },
+      [](const Entries& index, const std::string& number) {
+        std::uint32_t best = PrefixTrie::none;
+        std::size_t longest = 0;
+        for (const auto& [prefix, value] : index) {
+          if (!number.starts_with(prefix) || prefix.size() < longest) continue;
+          best = value;
+          longest = prefix.size();
+        }
+        return best;
+      });
 }
 
 void spread(benchmark::State& state) {
--- a/bench/tls_bench.cpp
+++ b/bench/tls_bench.cpp
@@ -1,5 +1,5 @@
-// What TLS costs: processor time of a handshake on either side, of a look-up in the real program, and memory of a
-// connection; each against plain in the same run. Uses the tests' stand-ins.
+// What TLS costs: processor time of a handshake on either side, of a look-up in the real program, and memory
+// of a connection; each against plain in the same run. Uses the tests' stand-ins.
 #define CATCH_CONFIG_RUNNER
 #include <malloc.h>
 #include <sys/resource.h>
@@ -23,14 +23,17 @@
   std::shared_ptr<SSL> client, server;
   double client_ms = 0, server_ms = 0;
 
-  Pair(SSL* client_side, SSL_CTX* server_context) : client(client_side, SSL_free), server(SSL_new(server_context), SSL_free) {
+  Pair(SSL* client_side, SSL_CTX* server_context)
+      : client(client_side, SSL_free), server(SSL_new(server_context), SSL_free) {
     BIO *to_server = nullptr, *to_client = nullptr;
     BIO_new_bio_pair(&to_server, 65536, &to_client, 65536);
     SSL_set_bio(client.get(), to_server, to_server);
     SSL_set_bio(server.get(), to_client, to_client);
   }
   void shake() {
-    for (int turn = 0; turn < 20 && !(SSL_is_init_finished(client.get()) == 1 && SSL_is_init_finished(server.get()) == 1); ++turn) {
+    for (int turn = 0;
+         turn < 20 && !(SSL_is_init_finished(client.get()) == 1 && SSL_is_init_finished(server.get()) == 1);
+         ++turn) {
       double from = thread_ms();
       SSL_connect(client.get());
       client_ms += thread_ms() - from;
@@ -80,9 +83,9 @@
       client_ms += pair.client_ms;
       server_ms += pair.server_ms;
     }
-    std::printf("%-10s %s %-8s client %6.3f ms, server %6.3f ms of processor time (%d done, %d resumed)\n", kind,
-                version == TLS1_3_VERSION ? "1.3" : "1.2", resume ? "resumed" : "full", client_ms / done, server_ms / done,
-                done, resumed);
+    std::printf("%-10s %s %-8s client %6.3f ms, server %6.3f ms of processor time (%d done, %d resumed)\n",
+                kind, version == TLS1_3_VERSION ? "1.3" : "1.2", resume ? "resumed" : "full",
+                client_ms / done, server_ms / done, done, resumed);
   }
 }
 
@@ -110,7 +113,8 @@
     SSL_set_bio(pair.client.get(), nullptr, nullptr);
     open.push_back(pair.client);
   }
-  std::printf("memory: %zu bytes for an established connection's TLS\n", (mallinfo2().uordblks - before) / count);
+  std::printf("memory: %zu bytes for an established connection's TLS\n",
+              (mallinfo2().uordblks - before) / count);
 }
 
 /// Peers that are not the right one, again and again: nothing of them may stay.
@@ -137,12 +141,15 @@
     ERR_clear_error();
     if (i == count / 10) early = mallinfo2().uordblks;
   }
-  std::printf("memory: %d of %d handshakes refused, %lld bytes more in use after the last than after a tenth\n", refused, count,
-              static_cast<long long>(mallinfo2().uordblks) - static_cast<long long>(early));
+  std::printf(
+      "memory: %d of %d handshakes refused, %lld bytes more in use after the last than after a tenth\n",
+      refused, count, static_cast<long long>(mallinfo2().uordblks) - static_cast<long long>(early));
 }
 
 double cpu_ms(const rusage& used) {
-  const auto ms = [](const timeval& time) { return static_cast<double>(time.tv_sec) * 1000 + static_cast<double>(time.tv_usec) / 1000; };
+  const auto ms = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) * 1000 + static_cast<double>(time.tv_usec) / 1000;
+  };
   return ms(used.ru_utime) + ms(used.ru_stime);
 }
 
@@ -175,8 +182,8 @@
   }
   ::getrusage(RUSAGE_CHILDREN, &after);
   const double each = (cpu_ms(after) - cpu_ms(before)) / count;
-  std::printf("%-28s %.3f ms of processor time a look-up, %.1f times plain; full %d, resumed %d\n", kind, each,
-              plain > 0 ? each / plain : 1, server.full.load(), server.resumed.load());
+  std::printf("%-28s %.3f ms of processor time a look-up, %.1f times plain; full %d, resumed %d\n", kind,
+              each, plain > 0 ? each / plain : 1, server.full.load(), server.resumed.load());
   return each;
 }
 
--- a/src/config/convert.cpp
+++ b/src/config/convert.cpp
@@ -90,7 +90,8 @@
     }
     for (const auto& [number, members] : servers) {
       auto& pool = *site_.add_pool();
-      pool.set_name(members.size() == 1 && !listed ? members.front().text("name") : "number-" + std::to_string(number));
+      pool.set_name(members.size() == 1 && !listed ? members.front().text("name")
+                                                   : "number-" + std::to_string(number));
       pools_[number] = pool.name();
       for (const auto& each : members) {
         auto& member = *pool.add_member();
@@ -118,7 +119,8 @@
     if (settings_.step > Duration{0}) out.set_step(units::duration_text(to_ms(settings_.step)));
     out.set_cancelling(settings_.cancelling);
     if (settings_.start_capacity < 1) out.set_start_capacity(units::share_text(settings_.start_capacity));
-    if (settings_.cold_time > Duration{0}) out.set_cold_time(units::duration_text(to_ms(settings_.cold_time)));
+    if (settings_.cold_time > Duration{0})
+      out.set_cold_time(units::duration_text(to_ms(settings_.cold_time)));
     auto& policy = *site_.add_policy();
     policy.set_name("default");
     policy.set_attempts(attempts);
@@ -133,7 +135,8 @@
       const auto name = each.text("class", settings_.classes.front().name);
       const auto kind = std::find_if(settings_.classes.begin(), settings_.classes.end(),
                                      [&name](const auto& other) { return other.name == name; });
-      if (kind == settings_.classes.end()) throw InputError(each.path("class") + " is not a class of the settings");
+      if (kind == settings_.classes.end())
+        throw InputError(each.path("class") + " is not a class of the settings");
       site_.mutable_class_(static_cast<int>(kind - settings_.classes.begin()))->add_prefix(prefix);
       auto& route = *site_.add_route();
       if (!prefix.empty()) route.add_prefix(prefix);
--- a/src/config/enum_config.hpp
+++ b/src/config/enum_config.hpp
@@ -105,10 +105,10 @@
 struct EnumConfig {
   std::vector<std::string> files;  ///< as named, the first one being the one asked for
   Address listen;
-  std::string suffix;  ///< in lower case, without the last dot
+  std::string suffix;   ///< in lower case, without the last dot
   std::string console;  ///< path of the console's socket; empty: none
   units::TimeZone zone;
-  bool has_front = true;  ///< false: the file is of the platform's front alone
+  bool has_front = true;                        ///< false: the file is of the platform's front alone
   std::optional<tls::TlsConfig> converter_tls;  ///< towards the platform's converters
   maddershed::Settings settings;
   handshakes::Settings handshakes;
--- a/src/config/explain.cpp
+++ b/src/config/explain.cpp
@@ -42,7 +42,8 @@
     longest = each.prefix;
     found = true;
   }
-  return found ? "by its prefix " + (longest.empty() ? "\"\"" : longest) : "the first class, since no prefix fits";
+  return found ? "by its prefix " + (longest.empty() ? "\"\"" : longest)
+               : "the first class, since no prefix fits";
 }
 
 std::string pool_text(const Pool& pool, const EnumConfig& config) {
@@ -69,7 +70,8 @@
   const RouteTable table(config);
   routes::LookUp look_up;
   look_up.number = number;
-  if (!question.tenant_name.empty()) look_up.tenant = index_of(config.tenants, question.tenant_name, "tenant");
+  if (!question.tenant_name.empty())
+    look_up.tenant = index_of(config.tenants, question.tenant_name, "tenant");
   look_up.traffic_class = question.class_name.empty()
                               ? table.class_of(number, look_up.tenant)
                               : index_of(config.settings.classes, question.class_name, "class");
@@ -79,12 +81,13 @@
          class_reason(config, question, look_up.tenant) + ")\n";
   out += "tenant " + (look_up.tenant == any ? "none" : config.tenants[look_up.tenant].name) + "\n";
   const auto to = std::min<int>(look_up.minute_of_week + 1, units::minutes_a_week);
-  out += "time " + units::week_text({{look_up.minute_of_week, static_cast<std::uint16_t>(to)}}).substr(0, 9) + "\n";
+  out += "time " + units::week_text({{look_up.minute_of_week, static_cast<std::uint16_t>(to)}}).substr(0, 9) +
+         "\n";
   const Route* taken = nullptr;
   for (const auto& [route, fit] : table.explain(look_up)) {
     const auto conditions = conditions_text(config, *route);
-    out += "route for " + numbers_text(route->prefix) + (conditions.empty() ? "" : ", " + conditions) + " at " +
-           where_text(config, route->where) + ": " + fit_text(fit) + "\n";
+    out += "route for " + numbers_text(route->prefix) + (conditions.empty() ? "" : ", " + conditions) +
+           " at " + where_text(config, route->where) + ": " + fit_text(fit) + "\n";
     if (fit == RouteTable::Fit::taken) taken = route;
   }
   if (taken == nullptr) return out + "no route is taken: the look-up is refused\n";
@@ -101,7 +104,8 @@
 
 std::string notes_text(const std::vector<Note>& notes) {
   std::size_t width = 0;
-  for (const auto& each : notes) width = std::max(width, std::min<std::size_t>(60, each.key.size() + each.value.size() + 3));
+  for (const auto& each : notes)
+    width = std::max(width, std::min<std::size_t>(60, each.key.size() + each.value.size() + 3));
   std::string out;
   for (const auto& each : notes) {
     auto line = each.key + " = " + (each.value.empty() ? "none" : each.value);
--- a/src/config/formatter.cpp
+++ b/src/config/formatter.cpp
@@ -139,7 +139,8 @@
     while (true) {
       if (token_.kind == Token::Kind::comment) {
         // On the line of the entry before it, it belongs to that one.
-        if (comments.empty() && !out.entries.empty() && token_.line == last_line && out.entries.back().beside.empty()) {
+        if (comments.empty() && !out.entries.empty() && token_.line == last_line &&
+            out.entries.back().beside.empty()) {
           out.entries.back().beside = token_.text;
         } else {
           if (comments.empty()) gap = gap || (last_line > 0 && token_.line > last_line + 1);
@@ -331,7 +332,9 @@
   }
 
  private:
-  void line(std::size_t depth, const std::string& text) { out_ += std::string(depth * indent, ' ') + text + "\n"; }
+  void line(std::size_t depth, const std::string& text) {
+    out_ += std::string(depth * indent, ' ') + text + "\n";
+  }
 
   void entries(const Block& block, std::size_t depth) {
     bool first = true;
@@ -363,10 +366,12 @@
     for (std::size_t i = 0; i < entry.values.size(); ++i) {
       const auto& each = entry.values[i];
       for (const auto& comment : each.before) line(depth + 1, comment);
-      const auto end = std::string(i + 1 < entry.values.size() ? "," : "") + (each.beside.empty() ? "" : "  " + each.beside);
+      const auto end = std::string(i + 1 < entry.values.size() ? "," : "") +
+                       (each.beside.empty() ? "" : "  " + each.beside);
       if (each.message.empty()) {
         line(depth + 1, each.text + end);
-      } else if (const auto text = flat(each.message.front()); text && (depth + 1) * indent + text->size() <= widest) {
+      } else if (const auto text = flat(each.message.front());
+                 text && (depth + 1) * indent + text->size() <= widest) {
         line(depth + 1, *text + end);
       } else {
         line(depth + 1, "{");
@@ -391,7 +396,8 @@
   const auto after = parse_source(name, out, after_faults);
   if (after_faults.any_error() ||
       !google::protobuf::util::MessageDifferencer::Equals(before->message, after->message)) {
-    faults.add({name, 0, 0, "layout", "the formatted text would not mean the same; the file stays as it is", "", false});
+    faults.add({name, 0, 0, "layout", "the formatted text would not mean the same; the file stays as it is",
+                "", false});
     return std::nullopt;
   }
   return out;
--- a/src/config/site_diff.cpp
+++ b/src/config/site_diff.cpp
@@ -19,9 +19,9 @@
 using routes::RouteTable;
 using units::minutes_a_week;
 
-constexpr std::size_t most_shown = 5;       // numbers named in one sentence
-constexpr std::size_t most_cases = 20000;   // of class, tenant and time looked at for one prefix
-constexpr std::uint32_t other = any - 1;    // a class that no route names
+constexpr std::size_t most_shown = 5;      // numbers named in one sentence
+constexpr std::size_t most_cases = 20000;  // of class, tenant and time looked at for one prefix
+constexpr std::uint32_t other = any - 1;   // a class that no route names
 
 std::string quoted(const std::string& text) { return text.empty() ? "none" : text; }
 std::string limit_text(std::uint32_t limit) { return limit == 0 ? "no limit" : std::to_string(limit); }
@@ -65,17 +65,19 @@
   void value(const char* kind, const std::string& subject, const std::string& key, const std::string& before,
              const std::string& after, bool restart = false) {
     if (before != after) {
-      add(kind, subject, (subject.empty() ? "" : subject + ": ") + key + " " + after + ", was " + before, restart);
+      add(kind, subject, (subject.empty() ? "" : subject + ": ") + key + " " + after + ", was " + before,
+          restart);
     }
   }
   void time(const char* kind, const std::string& subject, const std::string& key, maddershed::Duration before,
             maddershed::Duration after, bool restart) {
-    value(kind, subject, key, units::duration_text(to_ms(before)), units::duration_text(to_ms(after)), restart);
+    value(kind, subject, key, units::duration_text(to_ms(before)), units::duration_text(to_ms(after)),
+          restart);
   }
   /// Calls for each name in either list, with the items that bear it or null.
   template <typename Item, typename Visit>
-  void each_name(const char* kind, const std::vector<Item>& before, const std::vector<Item>& after, bool restart,
-                 const Visit& both) {
+  void each_name(const char* kind, const std::vector<Item>& before, const std::vector<Item>& after,
+                 bool restart, const Visit& both) {
     const auto old = by_name(before), fresh = by_name(after);
     for (const auto& [name, item] : old) {
       const auto subject = std::string(kind) + " " + name;
@@ -103,11 +105,14 @@
   void decisions() {
     const auto &a = a_.settings, &b = b_.settings;
     const std::string subject = "decisions";
-    value("decisions", subject, "routers", std::to_string(a.controllers), std::to_string(b.controllers), true);
-    value("decisions", subject, "attempts", std::to_string(a.attempt_limit), std::to_string(b.attempt_limit), true);
+    value("decisions", subject, "routers", std::to_string(a.controllers), std::to_string(b.controllers),
+          true);
+    value("decisions", subject, "attempts", std::to_string(a.attempt_limit), std::to_string(b.attempt_limit),
+          true);
     time("decisions", subject, "release_wait", a.release_wait, b.release_wait, true);
     time("decisions", subject, "step", a.step, b.step, true);
-    value("decisions", subject, "cancelling", a.cancelling ? "true" : "false", b.cancelling ? "true" : "false", true);
+    value("decisions", subject, "cancelling", a.cancelling ? "true" : "false",
+          b.cancelling ? "true" : "false", true);
     value("decisions", subject, "start_capacity", units::share_text(a.start_capacity),
           units::share_text(b.start_capacity), true);
     time("decisions", subject, "cold_time", a.cold_time, b.cold_time, true);
@@ -123,13 +128,15 @@
     time("full_cost", a.full_cost, b.full_cost);
     time("resumed_cost", a.resumed_cost, b.resumed_cost);
     time("slow", a.slow, b.slow);
-    value("handshakes", subject, "most_in_all", std::to_string(a.most_in_all), std::to_string(b.most_in_all), true);
+    value("handshakes", subject, "most_in_all", std::to_string(a.most_in_all), std::to_string(b.most_in_all),
+          true);
   }
 
   void classes() {
     each_name("class", a_.settings.classes, b_.settings.classes, true,
               [this](const std::string& subject, const auto& a, const auto& b) {
-                value("class", subject, "worth", units::number_text(a.worth), units::number_text(b.worth), true);
+                value("class", subject, "worth", units::number_text(a.worth), units::number_text(b.worth),
+                      true);
                 value("class", subject, "late_share", units::share_text(a.late_share),
                       units::share_text(b.late_share), true);
                 time("class", subject, "aim", a.aim, b.aim, true);
@@ -151,34 +158,35 @@
     for (std::size_t i = 0; same && i < a_.settings.classes.size(); ++i) {
       same = a_.settings.classes[i].name == b_.settings.classes[i].name;
     }
-    const bool told = std::any_of(out_.changes.begin(), out_.changes.end(), [](const auto& each) {
-      return each.kind == "class" && each.restart;
-    });
+    const bool told = std::any_of(out_.changes.begin(), out_.changes.end(),
+                                  [](const auto& each) { return each.kind == "class" && each.restart; });
     if (!same && !told) order_of_classes_ = true;
   }
 
   void tenants() {
-    each_name("tenant", a_.tenants, b_.tenants, false, [this](const std::string& subject, const Tenant& a, const Tenant& b) {
-      const auto class_text = [](const EnumConfig& config, const Tenant& tenant) {
-        return tenant.traffic_class == any ? "the number's" : config.settings.classes[tenant.traffic_class].name;
-      };
-      value("tenant", subject, "class", class_text(a_, a), class_text(b_, b));
-      const auto networks = [](const Tenant& tenant) {
-        std::set<std::string> out;
-        for (const auto& each : tenant.networks) {
-          const auto host = Address{each.host, 0}.text();
-          out.insert(host.substr(0, host.find(':')) + "/" + std::to_string(each.length));
-        }
-        return out;
-      };
-      const auto old = networks(a), fresh = networks(b);
-      for (const auto& each : old) {
-        if (!fresh.contains(each)) add("tenant", subject, subject + ": no longer from " + each);
-      }
-      for (const auto& each : fresh) {
-        if (!old.contains(each)) add("tenant", subject, subject + ": also from " + each);
-      }
-    });
+    each_name("tenant", a_.tenants, b_.tenants, false,
+              [this](const std::string& subject, const Tenant& a, const Tenant& b) {
+                const auto class_text = [](const EnumConfig& config, const Tenant& tenant) {
+                  return tenant.traffic_class == any ? "the number's"
+                                                     : config.settings.classes[tenant.traffic_class].name;
+                };
+                value("tenant", subject, "class", class_text(a_, a), class_text(b_, b));
+                const auto networks = [](const Tenant& tenant) {
+                  std::set<std::string> out;
+                  for (const auto& each : tenant.networks) {
+                    const auto host = Address{each.host, 0}.text();
+                    out.insert(host.substr(0, host.find(':')) + "/" + std::to_string(each.length));
+                  }
+                  return out;
+                };
+                const auto old = networks(a), fresh = networks(b);
+                for (const auto& each : old) {
+                  if (!fresh.contains(each)) add("tenant", subject, subject + ": no longer from " + each);
+                }
+                for (const auto& each : fresh) {
+                  if (!old.contains(each)) add("tenant", subject, subject + ": also from " + each);
+                }
+              });
   }
 
   void registries() {
@@ -190,7 +198,8 @@
                       units::duration_text(b.fetch_every_ms), true);
                 value("registry", subject, "register.application", quoted(a.own_application),
                       quoted(b.own_application), true);
-                value("registry", subject, "register.instance", quoted(a.own_instance), quoted(b.own_instance), true);
+                value("registry", subject, "register.instance", quoted(a.own_instance),
+                      quoted(b.own_instance), true);
                 value("registry", subject, "register.heartbeat", units::duration_text(a.heartbeat_ms),
                       units::duration_text(b.heartbeat_ms), true);
               });
@@ -225,50 +234,59 @@
   }
 
   void pools() {
-    each_name("pool", a_.pools, b_.pools, false, [this](const std::string& subject, const Pool& a, const Pool& b) {
-      value("pool", subject, "most_requests", limit_text(a.most_requests), limit_text(b.most_requests));
-      value("pool", subject, "zones", zones_text(a.zones), zones_text(b.zones));
-      value("pool", subject, "TLS", tls_text(a.tls), tls_text(b.tls));
-      value("pool", subject, "members from registry", from_text(a_, a), from_text(b_, b));
-      std::map<std::string, const Member*> old, fresh;
-      for (const auto& each : a.members) old[each.converter.name] = &each;
-      for (const auto& each : b.members) fresh[each.converter.name] = &each;
-      for (const auto& [name, member] : old) {
-        const auto it = fresh.find(name);
-        const auto key = "member " + name;
-        if (it == fresh.end()) {
-          add("pool", subject, subject + ": " + key + " gone");
-          continue;
-        }
-        const auto& is = *it->second;
-        value("pool", subject, key + " address", member->converter.address.text(), is.converter.address.text());
-        value("pool", subject, key + " weight", units::number_text(member->weight), units::number_text(is.weight));
-        value("pool", subject, key + " zone", quoted(member->zone), quoted(is.zone));
-        value("pool", subject, key + " most_requests", std::to_string(member->converter.circuits),
-              std::to_string(is.converter.circuits));
-      }
-      for (const auto& [name, member] : fresh) {
-        if (old.contains(name)) continue;
-        add("pool", subject, subject + ": member " + name + " new, at " + member->converter.address.text() + ", weight " +
-                                 units::number_text(member->weight));
-      }
-    });
+    each_name(
+        "pool", a_.pools, b_.pools, false, [this](const std::string& subject, const Pool& a, const Pool& b) {
+          value("pool", subject, "most_requests", limit_text(a.most_requests), limit_text(b.most_requests));
+          value("pool", subject, "zones", zones_text(a.zones), zones_text(b.zones));
+          value("pool", subject, "TLS", tls_text(a.tls), tls_text(b.tls));
+          value("pool", subject, "members from registry", from_text(a_, a), from_text(b_, b));
+          std::map<std::string, const Member*> old, fresh;
+          for (const auto& each : a.members) old[each.converter.name] = &each;
+          for (const auto& each : b.members) fresh[each.converter.name] = &each;
+          for (const auto& [name, member] : old) {
+            const auto it = fresh.find(name);
+            const auto key = "member " + name;
+            if (it == fresh.end()) {
+              add("pool", subject, subject + ": " + key + " gone");
+              continue;
+            }
+            const auto& is = *it->second;
+            value("pool", subject, key + " address", member->converter.address.text(),
+                  is.converter.address.text());
+            value("pool", subject, key + " weight", units::number_text(member->weight),
+                  units::number_text(is.weight));
+            value("pool", subject, key + " zone", quoted(member->zone), quoted(is.zone));
+            value("pool", subject, key + " most_requests", std::to_string(member->converter.circuits),
+                  std::to_string(is.converter.circuits));
+          }
+          for (const auto& [name, member] : fresh) {
+            if (old.contains(name)) continue;
+            add("pool", subject,
+                subject + ": member " + name + " new, at " + member->converter.address.text() + ", weight " +
+                    units::number_text(member->weight));
+          }
+        });
   }
 
   void policies() {
-    each_name("policy", a_.policies, b_.policies, false, [this](const std::string& subject, const Policy& a, const Policy& b) {
-      const auto deadline = [](const Policy& policy) {
-        return policy.deadline_ms == 0 ? "the class's give_up" : units::duration_text(policy.deadline_ms);
-      };
-      const auto rate = [](const Policy& policy) {
-        return policy.rate == 0 ? "no limit" : units::rate_text(policy.rate) + " burst " + units::number_text(policy.burst);
-      };
-      value("policy", subject, "deadline", deadline(a), deadline(b));
-      value("policy", subject, "attempts", std::to_string(a.attempts), std::to_string(b.attempts));
-      value("policy", subject, "retry_wait", units::duration_text(a.retry_wait_ms), units::duration_text(b.retry_wait_ms));
-      value("policy", subject, "most_open", limit_text(a.most_open), limit_text(b.most_open));
-      value("policy", subject, "rate", rate(a), rate(b));
-    });
+    each_name("policy", a_.policies, b_.policies, false,
+              [this](const std::string& subject, const Policy& a, const Policy& b) {
+                const auto deadline = [](const Policy& policy) {
+                  return policy.deadline_ms == 0 ? "the class's give_up"
+                                                 : units::duration_text(policy.deadline_ms);
+                };
+                const auto rate = [](const Policy& policy) {
+                  return policy.rate == 0
+                             ? "no limit"
+                             : units::rate_text(policy.rate) + " burst " + units::number_text(policy.burst);
+                };
+                value("policy", subject, "deadline", deadline(a), deadline(b));
+                value("policy", subject, "attempts", std::to_string(a.attempts), std::to_string(b.attempts));
+                value("policy", subject, "retry_wait", units::duration_text(a.retry_wait_ms),
+                      units::duration_text(b.retry_wait_ms));
+                value("policy", subject, "most_open", limit_text(a.most_open), limit_text(b.most_open));
+                value("policy", subject, "rate", rate(a), rate(b));
+              });
   }
 
   // ---- Routes ------------------------------------------------------------------------------------------
@@ -281,7 +299,9 @@
 
   const Effect& effect(const Route* was, const Route* is) {
     constexpr auto no_route = std::pair(any, any);
-    const auto key_of = [&](const Route* route) { return route == nullptr ? no_route : std::pair(route->targets, route->policy); };
+    const auto key_of = [&](const Route* route) {
+      return route == nullptr ? no_route : std::pair(route->targets, route->policy);
+    };
     const auto [it, fresh] = effects_.try_emplace(std::pair(key_of(was), key_of(is)));
     if (fresh) it->second = describe(was, is);
     return it->second;
@@ -290,7 +310,9 @@
   Effect describe(const Route* was, const Route* is) const {
     if (was == nullptr && is == nullptr) return {};
     if (was == nullptr) {
-      return {"new: " + targets_text(b_, b_.target_lists[is->targets]) + "; policy " + b_.policies[is->policy].name, true};
+      return {"new: " + targets_text(b_, b_.target_lists[is->targets]) + "; policy " +
+                  b_.policies[is->policy].name,
+              true};
     }
     if (is == nullptr) {
       return {"no route any more, was " + targets_text(a_, a_.target_lists[was->targets]) + "; policy " +
@@ -301,7 +323,8 @@
     const auto say = [&out](const std::string& words) { out.text += (out.text.empty() ? "" : "; ") + words; };
     const auto names = [](const EnumConfig& config, const Route& route) {
       std::vector<std::pair<std::string, double>> list;
-      for (const auto& each : config.target_lists[route.targets]) list.emplace_back(config.pools[each.pool].name, each.share);
+      for (const auto& each : config.target_lists[route.targets])
+        list.emplace_back(config.pools[each.pool].name, each.share);
       return list;
     };
     const auto old = names(a_, *was), fresh = names(b_, *is);
@@ -328,7 +351,8 @@
     std::string order_before, order_after;
     for (const auto& each : old) order_before += (order_before.empty() ? "" : ", ") + each.first;
     for (const auto& each : fresh) order_after += (order_after.empty() ? "" : ", ") + each.first;
-    if (!set_changes && order_before != order_after) say("pools in the order " + order_after + ", was " + order_before);
+    if (!set_changes && order_before != order_after)
+      say("pools in the order " + order_after + ", was " + order_before);
     const auto &policy_before = a_.policies[was->policy].name, &policy_after = b_.policies[is->policy].name;
     if (policy_before != policy_after) say("policy " + policy_after + ", was " + policy_before);
     return out;
@@ -339,11 +363,15 @@
     std::set<std::string> classes, tenants;
     std::set<std::uint16_t> times{0};
     [[nodiscard]] bool plain() const { return classes.empty() && tenants.empty() && times.size() == 1; }
-    [[nodiscard]] std::size_t count() const { return (classes.size() + 1) * (tenants.size() + 1) * times.size(); }
+    [[nodiscard]] std::size_t count() const {
+      return (classes.size() + 1) * (tenants.size() + 1) * times.size();
+    }
   };
-  static void gather(const EnumConfig& config, const RouteTable& table, const std::string& prefix, Cases& cases) {
+  static void gather(const EnumConfig& config, const RouteTable& table, const std::string& prefix,
+                     Cases& cases) {
     for (const auto* route : table.chain(prefix)) {
-      if (route->traffic_class != any) cases.classes.insert(config.settings.classes[route->traffic_class].name);
+      if (route->traffic_class != any)
+        cases.classes.insert(config.settings.classes[route->traffic_class].name);
       if (route->tenant != any) cases.tenants.insert(config.tenants[route->tenant].name);
       if (route->schedule == any) continue;
       for (const auto& span : config.schedules[route->schedule]) {
@@ -377,7 +405,8 @@
       gather(b_, table_b_, prefix, cases);
       bool moves = false;
       if (cases.plain()) {
-        const auto& change = effect(table_a_.find({prefix, other, any, 0}), table_b_.find({prefix, other, any, 0}));
+        const auto& change =
+            effect(table_a_.find({prefix, other, any, 0}), table_b_.find({prefix, other, any, 0}));
         moves = change.first_moves;
         if (!change.text.empty()) group("", change.text, prefix);
       } else if (cases.count() <= most_cases) {
@@ -389,11 +418,13 @@
     }
     if (order_of_classes_) add("class", "classes", "classes: they stand in another order", true);
     for (const auto& [words, numbers] : groups_) {
-      std::string subject = numbers.first.front().empty() ? "all numbers" : "numbers " + numbers.first.front();
+      std::string subject =
+          numbers.first.front().empty() ? "all numbers" : "numbers " + numbers.first.front();
       for (std::size_t i = 1; i < numbers.first.size(); ++i) {
         subject += ", " + (numbers.first[i].empty() ? "all others" : numbers.first[i]);
       }
-      if (numbers.count > numbers.first.size()) subject += " and " + std::to_string(numbers.count - numbers.first.size()) + " more";
+      if (numbers.count > numbers.first.size())
+        subject += " and " + std::to_string(numbers.count - numbers.first.size()) + " more";
       const auto& [condition, text] = words;
       const auto whole = condition.empty() ? subject : subject + ", " + condition;
       add("route", whole, whole + ": " + text);
@@ -430,15 +461,20 @@
       const auto whole_week = [](const auto& each) {
         return each.second.size() == 1 && each.second[0].from == 0 && each.second[0].to == minutes_a_week;
       };
-      if (where.size() == classes.size() * tenants.size() && std::all_of(where.begin(), where.end(), whole_week)) {
+      if (where.size() == classes.size() * tenants.size() &&
+          std::all_of(where.begin(), where.end(), whole_week)) {
         group("", text, prefix);
         continue;
       }
       for (const auto& each : where) {
         std::string condition;
-        const auto add_words = [&condition](const std::string& words) { condition += (condition.empty() ? "" : ", ") + words; };
-        if (!cases.classes.empty()) add_words(each.first.first.empty() ? "other classes" : "class " + each.first.first);
-        if (!cases.tenants.empty()) add_words(each.first.second.empty() ? "other tenants" : "tenant " + each.first.second);
+        const auto add_words = [&condition](const std::string& words) {
+          condition += (condition.empty() ? "" : ", ") + words;
+        };
+        if (!cases.classes.empty())
+          add_words(each.first.first.empty() ? "other classes" : "class " + each.first.first);
+        if (!cases.tenants.empty())
+          add_words(each.first.second.empty() ? "other tenants" : "tenant " + each.first.second);
         if (!whole_week(each)) add_words(units::week_text(each.second));
         group(condition, text, prefix);
       }
@@ -460,7 +496,9 @@
   RouteTable table_a_, table_b_;
   SiteDifference out_;
   bool order_of_classes_ = false;
-  std::map<std::pair<std::pair<std::uint32_t, std::uint32_t>, std::pair<std::uint32_t, std::uint32_t>>, Effect> effects_;
+  std::map<std::pair<std::pair<std::uint32_t, std::uint32_t>, std::pair<std::uint32_t, std::uint32_t>>,
+           Effect>
+      effects_;
   std::map<std::pair<std::string, std::string>, Numbers> groups_;  ///< by condition and text
 };
 
@@ -472,7 +510,9 @@
          " ranges of numbers change their first pool";
 }
 
-SiteDifference diff_sites(const EnumConfig& before, const EnumConfig& after) { return Differ(before, after).run(); }
+SiteDifference diff_sites(const EnumConfig& before, const EnumConfig& after) {
+  return Differ(before, after).run();
+}
 
 std::string to_json(const SiteDifference& difference) {
   rapidjson::StringBuffer out;
--- a/src/config/site_diff.hpp
+++ b/src/config/site_diff.hpp
@@ -9,9 +9,9 @@
 namespace heathturn {
 
 struct SiteChange {
-  std::string kind;     ///< "site", "decisions", "class", "tenant", "registry", "pool", "policy", "route"
-  std::string subject;  ///< its name, or the numbers concerned
-  std::string text;     ///< one sentence, beginning with the subject
+  std::string kind;      ///< "site", "decisions", "class", "tenant", "registry", "pool", "policy", "route"
+  std::string subject;   ///< its name, or the numbers concerned
+  std::string text;      ///< one sentence, beginning with the subject
   bool restart = false;  ///< cannot change in service
 };
 
--- a/src/config/site_reader.cpp
+++ b/src/config/site_reader.cpp
@@ -146,10 +146,10 @@
  private:
   // ---- Faults and notes --------------------------------------------------------------------------------
 
-  void fault(const Where& where, const std::string& key, const std::string& text, const std::string& expected = "",
-             bool warning = false) {
-    faults_.add({config_.files[where.file], static_cast<int>(where.line), static_cast<int>(where.column), key, text,
-                 expected, warning});
+  void fault(const Where& where, const std::string& key, const std::string& text,
+             const std::string& expected = "", bool warning = false) {
+    faults_.add({config_.files[where.file], static_cast<int>(where.line), static_cast<int>(where.column), key,
+                 text, expected, warning});
   }
   [[nodiscard]] std::string place_text(const Where& where) const {
     return where_text(config_, where) + ":" + std::to_string(where.column);
@@ -167,8 +167,8 @@
 
   using Form = units::Parsed<double> (*)(const std::string&);
   using Show = std::string (*)(double);
-  double measure(const Node& node, const char* field, Form form, Show show, const char* expected, double least,
-                 double most, double otherwise) {
+  double measure(const Node& node, const char* field, Form form, Show show, const char* expected,
+                 double least, double most, double otherwise) {
     if (!node.has(field)) {
       note(node, field, show(otherwise));
       return otherwise;
@@ -180,14 +180,16 @@
       return otherwise;
     }
     if (*parsed.value < least || *parsed.value > most) {
-      fault(node.place(field), node.path(field), "\"" + text + "\" is out of range", show(least) + " to " + show(most));
+      fault(node.place(field), node.path(field), "\"" + text + "\" is out of range",
+            show(least) + " to " + show(most));
       return otherwise;
     }
     note(node, field, show(*parsed.value));
     return *parsed.value;
   }
   double duration(const Node& node, const char* field, double least, double most, double otherwise) {
-    return measure(node, field, units::duration, units::duration_text, units::duration_form, least, most, otherwise);
+    return measure(node, field, units::duration, units::duration_text, units::duration_form, least, most,
+                   otherwise);
   }
   double share(const Node& node, const char* field, double least, double otherwise) {
     return measure(node, field, units::share, units::share_text, units::share_form, least, 1, otherwise);
@@ -251,7 +253,8 @@
     const auto given = needed(node, "name", name_form);
     if (given.empty()) return false;
     const auto good = [](char c) {
-      return std::isalnum(static_cast<unsigned char>(c)) != 0 || std::string("._:-").find(c) != std::string::npos;
+      return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+             std::string("._:-").find(c) != std::string::npos;
     };
     if (given.size() > most_name || !std::all_of(given.begin(), given.end(), good)) {
       fault(node.place("name"), node.path("name"), "\"" + given + "\" is no name", name_form);
@@ -259,7 +262,8 @@
     }
     if (const auto* first = names.add(given, index, node.where)) {
       fault(node.place("name"), node.path("name"),
-            "\"" + given + "\" stands there twice, first at " + place_text(first->where), "a name of its own");
+            "\"" + given + "\" stands there twice, first at " + place_text(first->where),
+            "a name of its own");
       return false;
     }
     node.key += "." + given;
@@ -279,7 +283,8 @@
     return found->index;
   }
   bool digits(const Where& where, const std::string& key, const std::string& prefix) {
-    if (prefix.size() <= most_prefix && prefix.find_first_not_of("0123456789") == std::string::npos) return true;
+    if (prefix.size() <= most_prefix && prefix.find_first_not_of("0123456789") == std::string::npos)
+      return true;
     fault(where, key, "\"" + prefix + "\" is no prefix of numbers", "at most 32 digits");
     return false;
   }
@@ -316,8 +321,8 @@
     if (node.has("tls")) config_.converter_tls = read_tls(node.inner("tls", -1));
     config_.has_front = std::any_of(tops_.begin(), tops_.end(), [](const Node& top) {
       const auto& message = static_cast<const config::v1::Site&>(*top.message);
-      return message.has_listen() || message.has_suffix() || message.class__size() > 0 || message.pool_size() > 0 ||
-             message.route_size() > 0;
+      return message.has_listen() || message.has_suffix() || message.class__size() > 0 ||
+             message.pool_size() > 0 || message.route_size() > 0;
     });
   }
 
@@ -331,7 +336,8 @@
     if (!given.empty()) {
       const auto suffix = dns::name_from_text(given);
       if (!suffix || suffix->size() == 1) {
-        fault(at.place("suffix"), "suffix", "\"" + given + "\" is no domain name", "one such as \"enum.example.org\"");
+        fault(at.place("suffix"), "suffix", "\"" + given + "\" is no domain name",
+              "one such as \"enum.example.org\"");
       } else {
         config_.suffix = dns::name_to_text(*suffix);
       }
@@ -516,7 +522,8 @@
     out.certificate = beside(node, text(node, "certificate", ""));
     out.key = beside(node, text(node, "key", ""));
     if (out.certificate.empty() != out.key.empty()) {
-      fault(node.where, node.path(out.key.empty() ? "key" : "certificate"), "it is missing", "a certificate with its key");
+      fault(node.where, node.path(out.key.empty() ? "key" : "certificate"), "it is missing",
+            "a certificate with its key");
     }
     out.crl = beside(node, text(node, "crl", ""));
     for (int i = 0; i < message.alpn_size(); ++i) {
@@ -586,7 +593,8 @@
 
   // ---- Policies ----------------------------------------------------------------------------------------
 
-  static constexpr const char* policy_fields[] = {"deadline", "attempts", "retry_wait", "most_open", "rate", "burst"};
+  static constexpr const char* policy_fields[] = {"deadline",  "attempts", "retry_wait",
+                                                  "most_open", "rate",     "burst"};
   static constexpr std::size_t policy_field_count = std::size(policy_fields);
 
   struct PolicyDraft {
@@ -657,7 +665,8 @@
       kept.where = draft.policy.where;
       draft.policy = std::move(kept);
       for (std::size_t i = 0; i < policy_field_count; ++i) {
-        draft.origins[i] = base.origins[i].empty() ? "" : "policy " + base.policy.name + ", " + base.origins[i];
+        draft.origins[i] =
+            base.origins[i].empty() ? "" : "policy " + base.policy.name + ", " + base.origins[i];
       }
     }
     chain.pop_back();
@@ -673,7 +682,8 @@
     out.attempts = count(node, "attempts", 1, most_attempts_ever, out.attempts);
     out.retry_wait_ms = duration(node, "retry_wait", 0, 60 * second, out.retry_wait_ms);
     out.most_open = count(node, "most_open", 1, 10000, out.most_open);
-    out.rate = measure(node, "rate", units::rate, units::rate_text, units::rate_form, 1.0 / 3600, 1e6, out.rate);
+    out.rate =
+        measure(node, "rate", units::rate, units::rate_text, units::rate_form, 1.0 / 3600, 1e6, out.rate);
     const bool new_rate = node.has("rate") && !node.has("burst");
     out.burst = count(node, "burst", 1, 1000000, new_rate ? 0 : static_cast<std::uint32_t>(out.burst));
     if (out.burst == 0 && out.rate > 0) out.burst = std::max(1.0, std::floor(out.rate * usual_burst_s));
@@ -697,7 +707,8 @@
             "that many at most");
     }
     if (node.has("burst") && policy.rate == 0) {
-      fault(node.place("burst"), node.path("burst"), "there is no rate that it belongs to", "a rate beside it");
+      fault(node.place("burst"), node.path("burst"), "there is no rate that it belongs to",
+            "a rate beside it");
     }
     double deadline = policy.deadline_ms;
     for (const auto& each : config_.settings.classes) {
@@ -706,7 +717,8 @@
       }
     }
     const double waits = policy.retry_wait_ms * (policy.attempts - 1);
-    if (policy.where.line > 0 && deadline > 0 && policy.attempts > 1 && waits + answer_margin_ms >= deadline) {
+    if (policy.where.line > 0 && deadline > 0 && policy.attempts > 1 &&
+        waits + answer_margin_ms >= deadline) {
       fault(node.place(where), node.path("deadline"),
             units::duration_text(deadline) + " is over before " + std::to_string(policy.attempts) +
                 " attempts with waits of " + units::duration_text(policy.retry_wait_ms),
@@ -725,7 +737,8 @@
         policy.rate == 0 ? "no limit" : units::rate_text(policy.rate),
         policy.rate == 0 ? "none" : units::number_text(policy.burst)};
     for (std::size_t i = 0; i < policy_field_count; ++i) {
-      note(draft.node.path(policy_fields[i]), values[i], draft.origins[i].empty() ? "default" : draft.origins[i]);
+      note(draft.node.path(policy_fields[i]), values[i],
+           draft.origins[i].empty() ? "default" : draft.origins[i]);
     }
   }
 
@@ -760,7 +773,8 @@
   void add_route(const Node& node, const Route& route) {
     if (notes_ != nullptr) {
       const auto conditions = conditions_text(config_, route);
-      note("route." + (route.prefix.empty() ? "all" : route.prefix) + (conditions.empty() ? "" : " (" + conditions + ")"),
+      note("route." + (route.prefix.empty() ? "all" : route.prefix) +
+               (conditions.empty() ? "" : " (" + conditions + ")"),
            targets_text(config_, config_.target_lists[route.targets]) + "; policy " +
                config_.policies[route.policy].name,
            where_text(config_, node.where));
@@ -776,7 +790,8 @@
       return any;
     }
     const auto key = units::week_text(*parsed.value);
-    const auto [it, fresh] = schedules_.try_emplace(key, static_cast<std::uint32_t>(config_.schedules.size()));
+    const auto [it, fresh] =
+        schedules_.try_emplace(key, static_cast<std::uint32_t>(config_.schedules.size()));
     if (fresh) config_.schedules.push_back(*parsed.value);
     return it->second;
   }
@@ -810,7 +825,8 @@
       }
       target.pool = found->index;
       used_pools_.insert(target.pool);
-      const bool twice = std::any_of(list.begin(), list.end(), [&](const auto& each) { return each.pool == target.pool; });
+      const bool twice =
+          std::any_of(list.begin(), list.end(), [&](const auto& each) { return each.pool == target.pool; });
       if (twice) {
         const auto inner = node.inner("to", i);
         fault(inner.where, inner.path("pool"), "pool \"" + given.pool() + "\" stands there twice",
@@ -827,7 +843,8 @@
     }
     std::string key;
     for (const auto& each : list) key += std::to_string(each.pool) + ":" + std::to_string(each.share) + ";";
-    const auto [it, fresh] = target_lists_.try_emplace(key, static_cast<std::uint32_t>(config_.target_lists.size()));
+    const auto [it, fresh] =
+        target_lists_.try_emplace(key, static_cast<std::uint32_t>(config_.target_lists.size()));
     if (fresh) config_.target_lists.push_back(std::move(list));
     return it->second;
   }
@@ -885,7 +902,8 @@
       }
       const auto key = "route." + (route.prefix.empty() ? "all" : route.prefix);
       if (by && within(own, units::joined(taken))) {
-        fault(route.where, key, "no look-up reaches this route, since the one at " + place_text(*by) + " takes them all",
+        fault(route.where, key,
+              "no look-up reaches this route, since the one at " + place_text(*by) + " takes them all",
               "a route of its own prefix, class, tenant or time");
       }
       check_class(route, key);
@@ -928,7 +946,8 @@
     for (std::uint32_t i = 0; i < config_.tenants.size(); ++i) {
       const auto& each = config_.tenants[i];
       const bool used = used_tenants_.contains(i) || each.traffic_class != any;
-      if (!used) warn(each.where, "tenant." + each.name, "no route uses this tenant, and it has no class of its own");
+      if (!used)
+        warn(each.where, "tenant." + each.name, "no route uses this tenant, and it has no class of its own");
     }
     for (std::uint32_t i = 0; i < config_.registries.size(); ++i) {
       const auto& each = config_.registries[i];
--- a/src/config/site_reader.hpp
+++ b/src/config/site_reader.hpp
@@ -19,7 +19,8 @@
 
 /// Reads the file and all that it includes. Faults and warnings go to `faults`; with an error among them the
 /// result is of no use but for finding more. `notes`, where given, is told of each setting in order.
-[[nodiscard]] EnumConfig read_site(const std::string& path, Faults& faults, std::vector<Note>* notes = nullptr);
+[[nodiscard]] EnumConfig read_site(const std::string& path, Faults& faults,
+                                   std::vector<Note>* notes = nullptr);
 
 /// The same for a program that goes by it. Throws ConfigError with every fault.
 [[nodiscard]] EnumConfig load_site(const std::string& path);
--- a/src/config/sources.cpp
+++ b/src/config/sources.cpp
@@ -104,8 +104,9 @@
   for (const char* each : {"late_share", "share", "start_capacity"}) {
     if (key == each) return units::share_form;
   }
-  for (const char* each : {"aim", "give_up", "deadline", "retry_wait", "fetch_every", "heartbeat", "release_wait",
-                           "step", "cold_time", "handshake", "most_age", "full_cost", "resumed_cost", "slow"}) {
+  for (const char* each :
+       {"aim", "give_up", "deadline", "retry_wait", "fetch_every", "heartbeat", "release_wait", "step",
+        "cold_time", "handshake", "most_age", "full_cost", "resumed_cost", "slow"}) {
     if (key == each) return units::duration_form;
   }
   return key == "rate" ? units::rate_form : nullptr;
@@ -115,8 +116,7 @@
 
 /// Fields of the message named in protobuf's words, for "has no field named".
 std::string fields_of(const std::string& message) {
-  const auto* descriptor =
-      pb::DescriptorPool::generated_pool()->FindMessageTypeByName(message);
+  const auto* descriptor = pb::DescriptorPool::generated_pool()->FindMessageTypeByName(message);
   std::string out;
   for (int i = 0; descriptor != nullptr && i < descriptor->field_count(); ++i) {
     out += (i == 0 ? "" : i + 1 == descriptor->field_count() ? " or " : ", ") + descriptor->field(i)->name();
@@ -139,7 +139,8 @@
   void AddError(int line, pb::io::ColumnNumber column, const std::string& message) override {
     // protobuf may tell twice of one fault; only the first counts, and it goes no further after it. A number
     // with a unit that lacks its quotes is better told of by the second.
-    const bool unquoted = error_ == "Need space between number and identifier." && message.starts_with("Expected string");
+    const bool unquoted =
+        error_ == "Need space between number and identifier." && message.starts_with("Expected string");
     if (error_line_ >= 0 && !unquoted) return;
     error_line_ = line;
     error_column_ = column;
@@ -187,7 +188,8 @@
     auto words = error_;
     if (!words.empty() && words.back() == '.') words.pop_back();
     const auto at = offset_of(text_, error_line_, error_column_);
-    if (text_.find_first_not_of(" \t\r\n", at) == std::string::npos) words = "the text ends in the middle: " + words;
+    if (text_.find_first_not_of(" \t\r\n", at) == std::string::npos)
+      words = "the text ends in the middle: " + words;
     faults_.add({name_, error_line_ + 1, error_column_ + 1, "syntax", words, syntax_form, false});
   }
   void clear() { error_line_ = -1; }
@@ -238,8 +240,8 @@
                 "a byte here is no text", "UTF-8 without zero bytes", false});
     return out;
   }
-  // A bare number ends the parser's work. So that one run tells of all of them, each is taken for an empty text
-  // in its turn.
+  // A bare number ends the parser's work. So that one run tells of all of them, each is taken for an empty
+  // text in its turn.
   auto text = given;
   Collector collector(out->name, text, faults);
   for (int mended = 0;; ++mended) {
@@ -322,7 +324,8 @@
     if (seen_.size() > most_files || chain_.size() >= most_depth) {
       auto fault = from;
       fault.text = "too many files";
-      fault.expected = "at most " + std::to_string(most_files) + " files, " + std::to_string(most_depth) + " deep";
+      fault.expected =
+          "at most " + std::to_string(most_files) + " files, " + std::to_string(most_depth) + " deep";
       return lacking(std::move(fault));
     }
     std::string text;
@@ -338,8 +341,9 @@
     const auto* field = file->message.GetDescriptor()->FindFieldByName("include");
     for (int i = 0; i < file->message.include_size(); ++i) {
       if (file->places == nullptr) break;
-    const auto place = file->places->GetLocation(field, i);
-      load(beside(path, file->message.include(i)), {path, place.line + 1, place.column + 1, "include", "", "", false});
+      const auto place = file->places->GetLocation(field, i);
+      load(beside(path, file->message.include(i)),
+           {path, place.line + 1, place.column + 1, "include", "", "", false});
     }
     chain_.pop_back();
     names_.pop_back();
--- a/src/config/sources.hpp
+++ b/src/config/sources.hpp
@@ -23,7 +23,7 @@
 
 struct Sources {
   std::vector<std::unique_ptr<SourceFile>> files;  ///< in the order in which they count
-  bool whole = true;  ///< every file could be had and was read to its end
+  bool whole = true;                               ///< every file could be had and was read to its end
 };
 
 /// Bytes of one file, and of all read together.
--- a/src/config/units.cpp
+++ b/src/config/units.cpp
@@ -76,7 +76,8 @@
 /// "08:30" in minutes; up to "24:00".
 std::optional<int> clock_of(std::string_view text) {
   const auto digit = [&text](std::size_t at) { return text[at] >= '0' && text[at] <= '9'; };
-  if (text.size() != 5 || text[2] != ':' || !digit(0) || !digit(1) || !digit(3) || !digit(4)) return std::nullopt;
+  if (text.size() != 5 || text[2] != ':' || !digit(0) || !digit(1) || !digit(3) || !digit(4))
+    return std::nullopt;
   const int hours = (text[0] - '0') * 10 + (text[1] - '0');
   const int minutes = (text[3] - '0') * 10 + (text[4] - '0');
   if (minutes > 59 || hours * 60 + minutes > minutes_a_day) return std::nullopt;
@@ -91,7 +92,8 @@
 std::string take_spans(std::string_view part, std::vector<WeekSpan>& out) {
   int first = 0, last = 6, from = 0, to = minutes_a_day;
   auto rest = part;
-  if (const auto word = next_part(rest, ' '); !word.empty() && !(word.front() >= '0' && word.front() <= '9')) {
+  if (const auto word = next_part(rest, ' ');
+      !word.empty() && !(word.front() >= '0' && word.front() <= '9')) {
     auto ends = word;
     const auto begin = day_of(next_part(ends, '-'));
     const auto end = ends.empty() ? begin : day_of(ends);
@@ -183,7 +185,8 @@
       const int day = at / minutes_a_day, start = day * minutes_a_day;
       const int end = std::min<int>(span.to, start + minutes_a_day);
       out += (out.empty() ? "" : ", ") + std::string(days[static_cast<std::size_t>(day)]);
-      if (at != start || end != start + minutes_a_day) out += " " + clock_text(at - start) + "-" + clock_text(end - start);
+      if (at != start || end != start + minutes_a_day)
+        out += " " + clock_text(at - start) + "-" + clock_text(end - start);
       at = end;
     }
   }
--- a/src/config/units.hpp
+++ b/src/config/units.hpp
@@ -19,7 +19,8 @@
 inline constexpr const char* share_form = "a share such as \"35%\" or \"0.35\"";
 inline constexpr const char* size_form = "a size such as \"64KiB\" or \"2MiB\"";
 inline constexpr const char* rate_form = "a rate such as \"200/s\" or \"30/m\"";
-inline constexpr const char* times_form = "times of the week such as \"Mon-Fri 08:00-18:00, Sat 09:00-12:00\"";
+inline constexpr const char* times_form =
+    "times of the week such as \"Mon-Fri 08:00-18:00, Sat 09:00-12:00\"";
 inline constexpr const char* zone_form = "\"utc\", \"local\" or an offset such as \"+13:00\"";
 
 /// Milliseconds. Units: us, ms, s, m, h.
--- a/src/config_commands.cpp
+++ b/src/config_commands.cpp
@@ -26,7 +26,8 @@
 
 /// The files that TLS needs, as a start of the program would find them.
 void check_tls(const EnumConfig& config, Faults& faults) {
-  const auto check = [&](const std::string& key, const std::optional<tls::TlsConfig>& set, const Where& where) {
+  const auto check = [&](const std::string& key, const std::optional<tls::TlsConfig>& set,
+                         const Where& where) {
     if (!set) return;
     try {
       const tls::Context context(*set, Clock().now());
@@ -78,7 +79,8 @@
   }
   if (only_check) {
     if (*formatted == text) return in_order;
-    std::printf("%s: not in its layout; `heathturn config fmt --write %s` puts it right\n", file.c_str(), file.c_str());
+    std::printf("%s: not in its layout; `heathturn config fmt --write %s` puts it right\n", file.c_str(),
+                file.c_str());
     return has_faults;
   }
   if (!write) {
@@ -123,7 +125,8 @@
     // A moment is written as a span of times is, without its end.
     const auto spans = units::week_spans(at + "-24:00");
     if (!spans.value || spans.value->size() != 1) {
-      throw maddershed::InputError("--at: \"" + at + "\" is no moment of the week; expected one such as \"Mon 09:30\"");
+      throw maddershed::InputError("--at: \"" + at +
+                                   "\" is no moment of the week; expected one such as \"Mon 09:30\"");
     }
     asked.minute_of_week = spans.value->front().from;
   }
@@ -159,7 +162,8 @@
     command->add_option("file", words->file, "The operator's file")->required();
   };
 
-  auto* checking = config->add_subcommand("check", "Name every fault of the files, one a line, with its place");
+  auto* checking =
+      config->add_subcommand("check", "Name every fault of the files, one a line, with its place");
   checking->add_option("files", words->files, "Operators' files");
   checking->add_option("--platform", words->platform, "A configuration as the platform gives it (JSON)");
   checking->add_flag("--strict", words->strict, "Warnings are faults");
@@ -171,9 +175,11 @@
 
   auto* formatting = config->add_subcommand("fmt", "Print the file in its layout; every comment stays");
   file(formatting);
-  auto* only_check = formatting->add_flag("--check", words->only_check, "Only say whether it is in its layout");
+  auto* only_check =
+      formatting->add_flag("--check", words->only_check, "Only say whether it is in its layout");
   formatting->add_flag("--write", words->write, "Replace the file, in one step")->excludes(only_check);
-  formatting->footer("Exit status: 0 done, or in its layout; 1 not in its layout (--check); 2 it cannot be read.");
+  formatting->footer(
+      "Exit status: 0 done, or in its layout; 1 not in its layout (--check); 2 it cannot be read.");
   formatting->callback([words, &status] { status = format(words->file, words->only_check, words->write); });
 
   auto* comparing = config->add_subcommand("diff", "Say what changes in meaning between two versions");
@@ -185,10 +191,13 @@
 
   auto* showing = config->add_subcommand("show", "Print every setting as resolved and where it came from");
   file(showing);
-  auto* number = showing->add_option("--number", words->question.number, "Explain what this number gets instead");
+  auto* number =
+      showing->add_option("--number", words->question.number, "Explain what this number gets instead");
   showing->add_option("--class", words->question.class_name, "As a look-up of this class")->needs(number);
   showing->add_option("--tenant", words->question.tenant_name, "Asked by this tenant")->needs(number);
-  showing->add_option("--at", words->at, "At this moment of the week, such as \"Mon 09:30\" (the default: Mon 00:00)")
+  showing
+      ->add_option("--at", words->at,
+                   "At this moment of the week, such as \"Mon 09:30\" (the default: Mon 00:00)")
       ->needs(number);
   showing->footer("Exit status: 0 shown, 2 the file cannot be used.");
   showing->callback([words, &status] { status = show(words->file, words->question, words->at); });
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -30,12 +30,12 @@
   bool redialled = false;
   bool cut_before = false;
   std::uint64_t number_called = 0;
-  bool routed = false;  ///< may go to `destination` and `alternates` alone
+  bool routed = false;                                   ///< may go to `destination` and `alternates` alone
   std::vector<maddershed::ExchangeNumber> alternates{};  ///< in order of preference
   std::uint32_t most_attempts = 0;                       ///< 0: as the settings say
   double retry_wait_ms = 0;  ///< before another attempt, however the one before ended
   std::string name;          ///< its id on the wire
-  std::string class_name;  ///< as told
+  std::string class_name;    ///< as told
   std::string key;
   std::string body;
 };
--- a/src/emulator/handshake_world.cpp
+++ b/src/emulator/handshake_world.cpp
@@ -55,8 +55,8 @@
 struct Connection {
   enum class State { none, handshake, up };
   State state = State::none;
-  std::uint64_t number = 0;  ///< of its latest handshake
-  bool asking = false;       ///< an event that asks again is set
+  std::uint64_t number = 0;                        ///< of its latest handshake
+  bool asking = false;                             ///< an event that asks again is set
   handshakes::Kind kind = handshakes::Kind::full;  ///< as admitted
 };
 
@@ -92,7 +92,8 @@
     }
     next_call();
     agenda_.at(plan_.cut_at, [this] { cut(); });
-    for (double at = 0; at < plan_.length; at += row_ms) agenda_.at(at, [this] { out_.backlog.push_back(backlog()); });
+    for (double at = 0; at < plan_.length; at += row_ms)
+      agenda_.at(at, [this] { out_.backlog.push_back(backlog()); });
     agenda_.run(plan_.length);
     return std::move(out_);
   }
@@ -105,8 +106,8 @@
   void work(double cost, std::function<void(bool)> done) {
     const double now = agenda_.now;
     const double age = std::max(0.0, now - converter_.started);
-    const double capacity =
-        plan_.start_capacity + (1 - plan_.start_capacity) * std::min(1.0, age / std::max(1.0, plan_.cold_time));
+    const double capacity = plan_.start_capacity +
+                            (1 - plan_.start_capacity) * std::min(1.0, age / std::max(1.0, plan_.cold_time));
     converter_.free_at = std::max(converter_.free_at, now) + cost / capacity;
     out_.worst_backlog = std::max(out_.worst_backlog, backlog());
     if (backlog() > plan_.fall_backlog) {
@@ -164,10 +165,12 @@
     const auto number = ++each.number;
     const double from = agenda_.now;
     if (down()) {  // refused at once
-      agenda_.at(from + 2 * plan_.connect_time, [this, i, k, number, from] { failed(i, k, number, from, Ending::refused); });
+      agenda_.at(from + 2 * plan_.connect_time,
+                 [this, i, k, number, from] { failed(i, k, number, from, Ending::refused); });
       return;
     }
-    agenda_.at(from + plan_.handshake_timeout, [this, i, k, number, from] { failed(i, k, number, from, Ending::timed_out); });
+    agenda_.at(from + plan_.handshake_timeout,
+               [this, i, k, number, from] { failed(i, k, number, from, Ending::timed_out); });
     const bool resumed = router.session;
     agenda_.at(from + plan_.connect_time, [this, i, k, number, from, resumed] {
       if (down()) return failed(i, k, number, from, Ending::refused);
@@ -188,8 +191,10 @@
     each.state = Connection::State::up;
     router.session = true;
     router.failures = 0;
-    router.admission->finished(the_converter, agenda_.now, each.kind, Ending::established, resumed, agenda_.now - from);
-    if (out_.all_back < 0 && std::all_of(routers_.begin(), routers_.end(), connected)) out_.all_back = agenda_.now;
+    router.admission->finished(the_converter, agenda_.now, each.kind, Ending::established, resumed,
+                               agenda_.now - from);
+    if (out_.all_back < 0 && std::all_of(routers_.begin(), routers_.end(), connected))
+      out_.all_back = agenda_.now;
     auto waiting = std::move(router.waiting);
     router.waiting.clear();
     for (const auto due : waiting) call(i, due);
@@ -207,7 +212,8 @@
     router.admission->finished(the_converter, agenda_.now, each.kind, ending, false, agenda_.now - from);
     if (way_ == Way::admission) return again(i, k, agenda_.now);
     if (way_ == Way::none) return again(i, k, agenda_.now + 1);
-    const double wait = std::min(backoff_most, std::ldexp(backoff_first, static_cast<int>(std::min(router.failures++, 10U))));
+    const double wait =
+        std::min(backoff_most, std::ldexp(backoff_first, static_cast<int>(std::min(router.failures++, 10U))));
     again(i, k, agenda_.now + wait);
   }
 
--- a/src/emulator/plot.cpp
+++ b/src/emulator/plot.cpp
@@ -14,13 +14,15 @@
 
 std::string text(double x, double y, const std::string& words, const char* more = "") {
   std::array<char, 512> out{};
-  std::snprintf(out.data(), out.size(), "<text x=\"%.1f\" y=\"%.1f\" %s>%s</text>\n", x, y, more, words.c_str());
+  std::snprintf(out.data(), out.size(), "<text x=\"%.1f\" y=\"%.1f\" %s>%s</text>\n", x, y, more,
+                words.c_str());
   return out.data();
 }
 std::string line(double x1, double y1, double x2, double y2, const char* colour) {
   std::array<char, 256> out{};
-  std::snprintf(out.data(), out.size(), "<line x1=\"%.1f\" y1=\"%.1f\" x2=\"%.1f\" y2=\"%.1f\" stroke=\"%s\"/>\n", x1, y1,
-                x2, y2, colour);
+  std::snprintf(out.data(), out.size(),
+                "<line x1=\"%.1f\" y1=\"%.1f\" x2=\"%.1f\" y2=\"%.1f\" stroke=\"%s\"/>\n", x1, y1, x2, y2,
+                colour);
   return out.data();
 }
 std::string number(double value) {
@@ -80,8 +82,10 @@
 
 std::string to_svg(const std::vector<Plot>& plots) {
   const double all = height * static_cast<double>(plots.size());
-  auto out = "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" + number(width) + "\" height=\"" + number(all) +
-             "\" font-family=\"sans-serif\" font-size=\"12\">\n<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n";
+  auto out = "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" + number(width) + "\" height=\"" +
+             number(all) +
+             "\" font-family=\"sans-serif\" font-size=\"12\">\n<rect width=\"100%\" height=\"100%\" "
+             "fill=\"white\"/>\n";
   for (std::size_t i = 0; i < plots.size(); ++i) out += one(plots[i], height * static_cast<double>(i));
   return out + "</svg>\n";
 }
--- a/src/enum/dot_links.cpp
+++ b/src/enum/dot_links.cpp
@@ -7,8 +7,8 @@
 
 namespace heathturn {
 
-using maddershed::Result;
 using handshakes::Ending;
+using maddershed::Result;
 
 namespace {
 
@@ -82,7 +82,8 @@
   const auto at = it->second;
   attempts_.erase(it);
   if (at.line == no_handle) {
-    std::erase_if(servers_.at(at.server).waiting, [attempt](const auto& each) { return each.attempt == attempt; });
+    std::erase_if(servers_.at(at.server).waiting,
+                  [attempt](const auto& each) { return each.attempt == attempt; });
     return;
   }
   // Its id stays taken on this line for good: a late answer must find nobody.
@@ -164,7 +165,8 @@
 void DotLinks::on_connected(Handle connection) {
   auto& line = lines_.at(connection);
   const double now = clock_.now();
-  admission_.finished(line.server, now, line.admitted, Ending::established, net_.resumed(connection), now - line.since);
+  admission_.finished(line.server, now, line.admitted, Ending::established, net_.resumed(connection),
+                      now - line.since);
   line.open = true;
   line.since = now;
   const auto server = line.server;
@@ -193,7 +195,8 @@
 /// A line that takes nothing new ends once nobody waits on it.
 void DotLinks::retire_if_idle(Handle connection) {
   const auto& line = lines_.at(connection);
-  const bool waits = std::any_of(line.asked.begin(), line.asked.end(), [](const auto& each) { return each.second != no_handle; });
+  const bool waits = std::any_of(line.asked.begin(), line.asked.end(),
+                                 [](const auto& each) { return each.second != no_handle; });
   // A line full of ids whose answers never came is of no more use either.
   if (waits || !line.open || (!line.retiring && line.asked.size() < most_on_line)) return;
   net_.close(connection, reason::finished);
--- a/src/enum/dot_links.hpp
+++ b/src/enum/dot_links.hpp
@@ -1,5 +1,5 @@
-// DNS over TLS (RFC 7858) towards name servers: a few kept connections to each, many look-ups on one, opened as
-// the admission of handshakes allows.
+// DNS over TLS (RFC 7858) towards name servers: a few kept connections to each, many look-ups on one, opened
+// as the admission of handshakes allows.
 #pragma once
 
 #include <deque>
@@ -32,7 +32,8 @@
            std::uint64_t seed, DotUser& user);
 
   /// A server is listed, or listed anew. Connections opened from now on go by this context.
-  void listed(ExchangeId server, const Address& address, const std::string& name, std::shared_ptr<tls::Context> context);
+  void listed(ExchangeId server, const Address& address, const std::string& name,
+              std::shared_ptr<tls::Context> context);
   /// It is listed no more: nothing new goes there, what is out may end.
   void unlisted(ExchangeId server);
 
--- a/src/enum/enum_service.cpp
+++ b/src/enum/enum_service.cpp
@@ -54,13 +54,15 @@
       upstreams_(program.clock(), program.deadlines(), program.net(), program.datagrams(), router_,
                  config_->handshakes, seed),
       contexts_(make_contexts(*config_, {}, {}, program.clock().now())),
-      front_(program.clock(), program.deadlines(), program.net(), program.datagrams(), router_, selector_, config_),
+      front_(program.clock(), program.deadlines(), program.net(), program.datagrams(), router_, selector_,
+             config_),
       longest_ms_(config_->longest_deadline_ms) {
   router_.set_carrier(upstreams_);
   router_.set_log(program.log_sink());
   for (const auto& registry : config_->registries) {
-    registries_.push_back(std::make_unique<EurekaClient>(program.clock(), program.deadlines(), program.net().base(),
-                                                         registry, program.log_sink(), [this] { list_members(); }));
+    registries_.push_back(std::make_unique<EurekaClient>(program.clock(), program.deadlines(),
+                                                         program.net().base(), registry, program.log_sink(),
+                                                         [this] { list_members(); }));
   }
 }
 
@@ -71,7 +73,8 @@
   std::vector<Upstreams::Listed> servers;
   std::vector<std::uint32_t> limits;
   std::set<std::string> named;
-  const auto add = [&](std::uint32_t pool, const Converter& converter, double weight, const std::string& zone) {
+  const auto add = [&](std::uint32_t pool, const Converter& converter, double weight,
+                       const std::string& zone) {
     // An instance that the file or another pool names already stays with these.
     if (!named.insert(converter.name).second) return;
     const bool ready = converter.entry.state == maddershed::ExchangeState::ready;
@@ -101,12 +104,14 @@
     return;
   }
   loading_ = std::make_shared<Loading>();
-  std::thread([loading = loading_, path = path_, old = config_, contexts = contexts_, now = program_.clock().now()] {
+  std::thread([loading = loading_, path = path_, old = config_, contexts = contexts_,
+               now = program_.clock().now()] {
     try {
       loading->config = std::make_shared<const EnumConfig>(load_site(path));
       loading->difference = diff_sites(*old, *loading->config);
       for (const auto& change : loading->difference.changes) {
-        if (change.restart) throw InputError(change.text + "; it takes a restart, and nothing of the file is taken");
+        if (change.restart)
+          throw InputError(change.text + "; it takes a restart, and nothing of the file is taken");
       }
       loading->contexts = make_contexts(*loading->config, pool_names(*old), contexts, now);
       loading->prepared = routes::Selector::prepare(loading->config);
@@ -147,8 +152,9 @@
     program_.log(LogLevel::info, "configuration_change", {{"front", kind()}, {"text", changes[i].text}});
   }
   if (changes.size() > most_told) {
-    program_.log(LogLevel::info, "configuration_change",
-                 {{"front", kind()}, {"text", "and " + std::to_string(changes.size() - most_told) + " more changes"}});
+    program_.log(
+        LogLevel::info, "configuration_change",
+        {{"front", kind()}, {"text", "and " + std::to_string(changes.size() - most_told) + " more changes"}});
   }
   if (const auto summary = loading.difference.summary(); !summary.empty()) {
     program_.log(LogLevel::info, "configuration_change", {{"front", kind()}, {"text", summary}});
@@ -162,7 +168,8 @@
     if (context == nullptr) continue;
     for (const auto& [what, not_after] : context->held()) {
       const double left = (not_after - now) / day_ms;
-      const auto* days = std::find_if(std::begin(expiry_days), std::end(expiry_days), [left](int each) { return left <= each; });
+      const auto* days = std::find_if(std::begin(expiry_days), std::end(expiry_days),
+                                      [left](int each) { return left <= each; });
       if (days == std::end(expiry_days)) {
         warned_.erase(what);
         continue;
@@ -170,7 +177,8 @@
       const auto [it, fresh] = warned_.try_emplace(what, *days);
       if (!fresh && it->second <= *days) continue;
       it->second = *days;
-      program_.log(LogLevel::warn, "certificate_expires", {{"what", what}, {"days_left", static_cast<int>(std::floor(left))}});
+      program_.log(LogLevel::warn, "certificate_expires",
+                   {{"what", what}, {"days_left", static_cast<int>(std::floor(left))}});
     }
   }
   program_.deadlines().set(now + expiry_every_ms, [this] { warn_of_expiry(); });
@@ -189,13 +197,14 @@
   for (std::uint32_t i = 0; i < config_->policies.size(); ++i) {
     const auto gate = selector_.gate(i);
     if (gate->turned_away() == 0) continue;
-    out += "enum: policy " + config_->policies[i].name + " has turned away " + std::to_string(gate->turned_away()) + "\n";
+    out += "enum: policy " + config_->policies[i].name + " has turned away " +
+           std::to_string(gate->turned_away()) + "\n";
   }
   const auto& n = upstreams_.links().counts();
   if (n.full + n.resumed + n.failed + n.held_back == 0) return out;
-  out += "enum: handshakes full " + std::to_string(n.full) + ", resumed " + std::to_string(n.resumed) + ", declined " +
-         std::to_string(n.declined) + ", failed " + std::to_string(n.failed) + ", held back " +
-         std::to_string(n.held_back) + "\n";
+  out += "enum: handshakes full " + std::to_string(n.full) + ", resumed " + std::to_string(n.resumed) +
+         ", declined " + std::to_string(n.declined) + ", failed " + std::to_string(n.failed) +
+         ", held back " + std::to_string(n.held_back) + "\n";
   for (const auto& [why, count] : upstreams_.links().refusals()) {
     out += "enum: " + why + " " + std::to_string(count) + "\n";
   }
@@ -207,7 +216,8 @@
 }
 
 bool EnumService::leaving() const {
-  return std::any_of(registries_.begin(), registries_.end(), [](const auto& each) { return each->deregistering(); });
+  return std::any_of(registries_.begin(), registries_.end(),
+                     [](const auto& each) { return each->deregistering(); });
 }
 
 }  // namespace heathturn
--- a/src/enum/front.cpp
+++ b/src/enum/front.cpp
@@ -147,7 +147,8 @@
   if (choice->candidates.empty()) return reply(client, query, dns::rcode::serv_fail);
   const auto& policy = config_->policies[choice->policy];
   auto gate = selector_.gate(choice->policy);
-  if (gate->enter(clock_.now()) != routes::Gate::Verdict::in) return reply(client, query, dns::rcode::refused);
+  if (gate->enter(clock_.now()) != routes::Gate::Verdict::in)
+    return reply(client, query, dns::rcode::refused);
   const auto& kind = config_->settings.classes[look_up.traffic_class];
   Request request;
   request.traffic_class = look_up.traffic_class;
--- a/src/enum/upstreams.cpp
+++ b/src/enum/upstreams.cpp
@@ -8,8 +8,8 @@
 
 using namespace maddershed;
 
-Upstreams::Upstreams(Clock& clock, Deadlines& deadlines, Connections& net, Datagrams& datagrams, Router& router,
-                     const handshakes::Settings& handshakes, std::uint64_t seed)
+Upstreams::Upstreams(Clock& clock, Deadlines& deadlines, Connections& net, Datagrams& datagrams,
+                     Router& router, const handshakes::Settings& handshakes, std::uint64_t seed)
     : clock_(clock),
       net_(net),
       datagrams_(datagrams),
@@ -25,9 +25,10 @@
 
 void Upstreams::update(const std::vector<Listed>& list, std::vector<std::uint32_t> pool_limits,
                        const Contexts& contexts) {
-  const bool other_pools = pool_limits.size() != pools_.size() ||
-                           !std::equal(pools_.begin(), pools_.end(), pool_limits.begin(),
-                                       [](const PoolRoom& room, std::uint32_t most) { return room.most == most; });
+  const bool other_pools =
+      pool_limits.size() != pools_.size() ||
+      !std::equal(pools_.begin(), pools_.end(), pool_limits.begin(),
+                  [](const PoolRoom& room, std::uint32_t most) { return room.most == most; });
   if (other_pools) {
     pools_.clear();
     for (const auto most : pool_limits) pools_.push_back({most, 0});
@@ -49,7 +50,8 @@
     server.listed = true;
     server.secured = contexts[each.pool] != nullptr;
     const auto id = server.converter.entry.exchange;
-    if (server.secured) links_.listed(id, server.converter.address, server.converter.name, contexts[each.pool]);
+    if (server.secured)
+      links_.listed(id, server.converter.address, server.converter.name, contexts[each.pool]);
   }
   for (const auto& [id, server] : servers_) {
     if (!server.listed || !server.secured) links_.unlisted(id);
@@ -184,8 +186,7 @@
     const double left = std::max(1.0, look_up.due - clock_.now());
     const auto server = servers_.find(look_up.exchange);
     if (server == servers_.end()) return end(attempt, Result::error);
-    const auto connection =
-        net_.connect(server->second.converter.address, *this, "upstream", left);
+    const auto connection = net_.connect(server->second.converter.address, *this, "upstream", left);
     look_up.connection = connection;
     by_connection_[connection] = attempt;
     return;
--- a/src/enum/upstreams.hpp
+++ b/src/enum/upstreams.hpp
@@ -28,7 +28,8 @@
   };
   /// `contexts`: of each pool, null where its look-ups go in plain.
   using Contexts = std::vector<std::shared_ptr<tls::Context>>;
-  void update(const std::vector<Listed>& list, std::vector<std::uint32_t> pool_limits, const Contexts& contexts);
+  void update(const std::vector<Listed>& list, std::vector<std::uint32_t> pool_limits,
+              const Contexts& contexts);
   [[nodiscard]] const DotLinks& links() const { return links_; }
   [[nodiscard]] std::vector<ConverterView> view() const;
 
--- a/src/eureka/client.cpp
+++ b/src/eureka/client.cpp
@@ -122,7 +122,8 @@
       return fetch();
     }
   } catch (const InputError& error) {
-    if (!outage_) log_(LogLevel::warn, "registry_unusable", {{"registry", config_.name}, {"fault", error.what()}});
+    if (!outage_)
+      log_(LogLevel::warn, "registry_unusable", {{"registry", config_.name}, {"fault", error.what()}});
     outage_ = true;
   }
   if (heard) {
@@ -140,7 +141,8 @@
           eureka_registration(config_.own_application, config_.own_instance, own_),
           [this](int status, const std::string&) {
             registered_ = status == 204 || status == 200;
-            if (!registered_) log_(LogLevel::warn, "registration_failed", {{"registry", config_.name}, {"status", status}});
+            if (!registered_)
+              log_(LogLevel::warn, "registration_failed", {{"registry", config_.name}, {"status", status}});
           });
 }
 
--- a/src/eureka/client.hpp
+++ b/src/eureka/client.hpp
@@ -18,8 +18,8 @@
 class EurekaClient {
  public:
   using Sink = std::function<void()>;  ///< the list has been heard anew
-  EurekaClient(Clock& clock, Deadlines& deadlines, event_base* base, EurekaConfig config,
-               LogSink log, Sink sink);
+  EurekaClient(Clock& clock, Deadlines& deadlines, event_base* base, EurekaConfig config, LogSink log,
+               Sink sink);
   ~EurekaClient();
   EurekaClient(const EurekaClient&) = delete;
   EurekaClient& operator=(const EurekaClient&) = delete;
--- a/src/experiment_commands.cpp
+++ b/src/experiment_commands.cpp
@@ -30,7 +30,8 @@
     to = from;
   }
   if (from < 1 || to < from || to > most_routers) {
-    throw CLI::ValidationError("--routers", "\"" + text + "\" is no range; expected one such as 5..200, up to 1000");
+    throw CLI::ValidationError("--routers",
+                               "\"" + text + "\" is no range; expected one such as 5..200, up to 1000");
   }
   std::vector<std::uint32_t> out;
   for (auto size = from; size < to; size = std::max(size + 1, size * 2)) out.push_back(size);
@@ -44,8 +45,8 @@
                              {"Falls of the converter", "routers", "falls in a minute", {}},
                              {"Calls answered in time", "routers", "%", {}},
                              {"Work in line, " + std::to_string(sizes.back()) + " routers", "s", "ms", {}}};
-  std::printf("%-10s %8s %6s %12s %14s %10s %8s %8s %8s\n", "way", "routers", "falls", "all_back_ms", "worst_line_ms",
-              "in_time_%", "full", "resumed", "wasted");
+  std::printf("%-10s %8s %6s %12s %14s %10s %8s %8s %8s\n", "way", "routers", "falls", "all_back_ms",
+              "worst_line_ms", "in_time_%", "full", "resumed", "wasted");
   for (const auto way : {Way::admission, Way::backoff, Way::none}) {
     for (auto& plot : plots) plot.series.push_back({way_text(way), {}});
     for (const auto size : sizes) {
@@ -54,9 +55,10 @@
       plan.seed = words.seed;
       const auto result = run_handshakes(way, plan);
       const double in_time = 100.0 * static_cast<double>(result.in_time) / static_cast<double>(result.calls);
-      std::printf("%-10s %8u %6u %12.0f %14.0f %10.1f %8llu %8llu %8llu\n", way_text(way), size, result.falls,
-                  result.all_back, result.worst_backlog, in_time, static_cast<unsigned long long>(result.full),
-                  static_cast<unsigned long long>(result.resumed), static_cast<unsigned long long>(result.wasted));
+      std::printf(
+          "%-10s %8u %6u %12.0f %14.0f %10.1f %8llu %8llu %8llu\n", way_text(way), size, result.falls,
+          result.all_back, result.worst_backlog, in_time, static_cast<unsigned long long>(result.full),
+          static_cast<unsigned long long>(result.resumed), static_cast<unsigned long long>(result.wasted));
       plots[0].series.back().points.emplace_back(size, result.all_back < 0 ? plan.length : result.all_back);
       plots[1].series.back().points.emplace_back(size, result.falls);
       plots[2].series.back().points.emplace_back(size, in_time);
@@ -82,8 +84,10 @@
   command->add_option("--seed", words->seed, "Of the random numbers; the same seed gives the same table");
   command->add_option("--plot", words->out, "Write the plots there, as SVG");
   command->add_option("--calls", words->plan.calls_a_second, "Calls a second, of all routers (default: 300)");
-  command->add_option("--full-cost", words->plan.full_cost, "Processor time of a full handshake, ms (default: 2)");
-  command->add_option("--share", words->plan.admission.share, "Of the processor, for handshakes (default: 0.4)");
+  command->add_option("--full-cost", words->plan.full_cost,
+                      "Processor time of a full handshake, ms (default: 2)");
+  command->add_option("--share", words->plan.admission.share,
+                      "Of the processor, for handshakes (default: 0.4)");
   command->footer("Exit status: 0 done, 1 the plot could not be written.");
   command->callback([words, &status] { status = run_experiment(*words); });
 }
--- a/src/handshakes/admission.cpp
+++ b/src/handshakes/admission.cpp
@@ -46,7 +46,8 @@
 /// All routers see a restart at one moment: each takes a random place in the time that all of them need.
 void Admission::spread_out(Converter& converter, double now) {
   const double all = all_routers_ms(converter, now, converter.full_cost);
-  converter.not_before = std::max(converter.not_before, now + chance() * std::min(settings_.backoff_most, all));
+  converter.not_before =
+      std::max(converter.not_before, now + chance() * std::min(settings_.backoff_most, all));
   converter.tokens = converter.full_cost;  // one at its place; the random place is what spreads them
   converter.filled_at = converter.not_before;
 }
@@ -108,7 +109,8 @@
   return out;
 }
 
-void Admission::finished(ExchangeId id, double now, Kind admitted, Ending ending, bool resumed, double elapsed) {
+void Admission::finished(ExchangeId id, double now, Kind admitted, Ending ending, bool resumed,
+                         double elapsed) {
   const auto it = converters_.find(id);
   if (it == converters_.end()) return;  // unlisted meanwhile, with what was under way
   auto& converter = it->second;
@@ -118,7 +120,8 @@
   refill(converter, now);
   const bool may_be_full = ending == Ending::established ? !resumed : ending != Ending::refused;
   // It may have cost more than was taken for it: the rest is owed, and paid before the next one.
-  if (admitted == Kind::resumed && may_be_full) converter.tokens -= converter.full_cost - settings_.resumed_cost;
+  if (admitted == Kind::resumed && may_be_full)
+    converter.tokens -= converter.full_cost - settings_.resumed_cost;
   if (ending == Ending::established) {
     ++converter.open;
     converter.failures = 0;
@@ -143,8 +146,9 @@
   // What cannot be verified is no sign of pressure, but asking again soon would help nobody either.
   if (ending != Ending::not_verified) converter.ease = std::max(ease_least, converter.ease * ease_cut);
   const double first = std::max(settings_.backoff_first, all_routers_ms(converter, now, converter.full_cost));
-  const double widest = std::min(settings_.backoff_most,
-                                 std::ldexp(first, static_cast<int>(std::min(converter.failures - 1, most_doublings))));
+  const double widest =
+      std::min(settings_.backoff_most,
+               std::ldexp(first, static_cast<int>(std::min(converter.failures - 1, most_doublings))));
   converter.not_before = now + chance() * widest;
 }
 
--- a/src/handshakes/admission.hpp
+++ b/src/handshakes/admission.hpp
@@ -1,6 +1,6 @@
 // When a connection to a converter may be opened, and whether it is expected to be resumed: an admission of
-// handshakes. A full handshake costs a converter processor time just when it is cold, and after its restart all
-// routers come back at once without a word between them. Does no I/O and reads no clock.
+// handshakes. A full handshake costs a converter processor time just when it is cold, and after its restart
+// all routers come back at once without a word between them. Does no I/O and reads no clock.
 #pragma once
 
 #include <cstdint>
@@ -14,18 +14,18 @@
 
 /// Times in ms. Costs are processor time at the converter when it is warm.
 struct Settings {
-  std::uint32_t routers = 1;   ///< that share the converters, this one included
-  double full_cost = 2;        ///< of a full handshake, until measured
-  double resumed_cost = 0.3;   ///< of a resumed one
-  double share = 0.4;          ///< of a converter's processor that the handshakes of all routers may take
-  double start_capacity = 0.3; ///< share of its capacity that a converter has at its start
-  double cold_time = 10000;    ///< it is warm within this time
-  std::uint32_t most_at_one = 2;     ///< handshakes of this router under way with one converter
-  std::uint32_t most_in_all = 16;    ///< under way with all of them
-  std::uint32_t connections = 4;     ///< to one converter, once it is warm; one at first
-  double slow = 200;           ///< a handshake that takes longer tells of pressure
-  double backoff_first = 100;  ///< after a first failure, at most
-  double backoff_most = 30000; ///< after any, at most
+  std::uint32_t routers = 1;       ///< that share the converters, this one included
+  double full_cost = 2;            ///< of a full handshake, until measured
+  double resumed_cost = 0.3;       ///< of a resumed one
+  double share = 0.4;              ///< of a converter's processor that the handshakes of all routers may take
+  double start_capacity = 0.3;     ///< share of its capacity that a converter has at its start
+  double cold_time = 10000;        ///< it is warm within this time
+  std::uint32_t most_at_one = 2;   ///< handshakes of this router under way with one converter
+  std::uint32_t most_in_all = 16;  ///< under way with all of them
+  std::uint32_t connections = 4;   ///< to one converter, once it is warm; one at first
+  double slow = 200;               ///< a handshake that takes longer tells of pressure
+  double backoff_first = 100;      ///< after a first failure, at most
+  double backoff_most = 30000;     ///< after any, at most
   std::uint32_t declined_most = 3;  ///< sessions declined in a row, after which full ones are expected
   std::uint32_t resumed_least = 2;  ///< resumed in a row, after which resumed ones are expected again
 };
@@ -45,8 +45,8 @@
  public:
   Admission(const Settings& settings, std::uint64_t seed);
 
-  /// A converter is listed; `started`: when its process began, where that is known to be lately. `connections`:
-  /// to this one, where it differs from the settings.
+  /// A converter is listed; `started`: when its process began, where that is known to be lately.
+  /// `connections`: to this one, where it differs from the settings.
   void listed(ExchangeId converter, double now, std::optional<double> started,
               std::optional<std::uint32_t> connections = std::nullopt);
   /// It is listed no more. Nothing is kept of it.
@@ -71,11 +71,11 @@
  private:
   struct Converter {
     std::optional<double> started;
-    double tokens = 0;       ///< ms of its processor that this router may use for handshakes; may be owed
+    double tokens = 0;  ///< ms of its processor that this router may use for handshakes; may be owed
     double filled_at = 0;
-    double not_before = 0;   ///< backoff, and the spread of the first ones
-    double ease = 1;         ///< of the budget: cut when handshakes are slow or fail, back step by step
-    double full_cost = 0;    ///< as measured on handshakes that met no pressure, or as set
+    double not_before = 0;  ///< backoff, and the spread of the first ones
+    double ease = 1;        ///< of the budget: cut when handshakes are slow or fail, back step by step
+    double full_cost = 0;   ///< as measured on handshakes that met no pressure, or as set
     std::uint32_t failures = 0;
     std::uint32_t connections = 1;  ///< once it is warm
     std::uint32_t under_way = 0, open = 0;
--- a/src/log/event_log.cpp
+++ b/src/log/event_log.cpp
@@ -56,7 +56,8 @@
 template <typename Count>
 class DescriptorSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
  public:
-  DescriptorSink(int descriptor, std::shared_ptr<Count> count) : descriptor_(descriptor), count_(std::move(count)) {}
+  DescriptorSink(int descriptor, std::shared_ptr<Count> count)
+      : descriptor_(descriptor), count_(std::move(count)) {}
 
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override {
--- a/src/log/event_log.hpp
+++ b/src/log/event_log.hpp
@@ -1,6 +1,6 @@
-// The log: one event a line on a descriptor, as key=value or as JSON, on spdlog. A thread of its own writes, so
-// that a reader who is slow costs lines and never time: what finds no room takes the place of the oldest, and
-// is counted.
+// The log: one event a line on a descriptor, as key=value or as JSON, on spdlog. A thread of its own writes,
+// so that a reader who is slow costs lines and never time: what finds no room takes the place of the oldest,
+// and is counted.
 #pragma once
 
 #include <atomic>
@@ -43,7 +43,8 @@
   bool close(double wait_ms);
 
   /// The event's own part of a line.
-  [[nodiscard]] static std::string text(LogFormat format, const char* event, const std::vector<LogField>& fields);
+  [[nodiscard]] static std::string text(LogFormat format, const char* event,
+                                        const std::vector<LogField>& fields);
 
  private:
   struct Written;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -51,8 +51,10 @@
   bool working = false;
   try {
     Program program(log);
-    if (config) program.add(std::make_unique<PlatformService>(program, std::move(*config), words.config, words.site));
-    if (site && site->has_front) program.add(std::make_unique<EnumService>(program, std::move(*site), words.site, fresh_seed()));
+    if (config)
+      program.add(std::make_unique<PlatformService>(program, std::move(*config), words.config, words.site));
+    if (site && site->has_front)
+      program.add(std::make_unique<EnumService>(program, std::move(*site), words.site, fresh_seed()));
     std::optional<Console> console;
     if (!console_path.empty()) console.emplace(program, console_path, version);
     status = program.run();
@@ -77,7 +79,9 @@
   auto* serving =
       app.add_subcommand("serve", "Route calls and look-ups until SIGTERM; SIGHUP reads the files again");
   serving->add_option("--config", words.config, "The platform's configuration (default: $PROXY_CONFIG)");
-  serving->add_option("--site,--enum", words.site, "The operator's file: the ENUM front, TLS towards converters; without it there is neither");
+  serving->add_option(
+      "--site,--enum", words.site,
+      "The operator's file: the ENUM front, TLS towards converters; without it there is neither");
   serving->add_option("--console", words.console, "Unix socket of the console; without it there is none");
   serving->add_option("--log-format", words.log_format, "kv or json (default: kv)")
       ->transform(CLI::CheckedTransformer(
@@ -90,7 +94,8 @@
   serving->footer("Exit status: 0 ended as asked, 1 it could not start.");
   serving->callback([&] { status = serve(words); });
 
-  auto* console = app.add_subcommand("console", "Ask the running program: status, converters, calls, drain, quit");
+  auto* console =
+      app.add_subcommand("console", "Ask the running program: status, converters, calls, drain, quit");
   std::string socket;
   std::vector<std::string> command;
   console->add_option("--socket", socket, "The program's console socket")->required();
@@ -100,7 +105,9 @@
 
   add_config_commands(app, status);
   add_experiment_commands(app, status);
-  app.add_subcommand("version", "Print the version")->callback([] { std::printf("heathturn %s\n", version); });
+  app.add_subcommand("version", "Print the version")->callback([] {
+    std::printf("heathturn %s\n", version);
+  });
   app.footer("`heathturn COMMAND --help` has each command's options and exit statuses.");
   try {
     CLI11_PARSE(app, argc, argv);
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -101,10 +101,10 @@
   connection.secured->id = secured.id;
   connection.secured->name = secured.name;
   SSL* ssl = secured.context->open(*connection.secured, to, offered);
-  bufferevent* stream =
-      ssl == nullptr ? nullptr
-                     : bufferevent_openssl_socket_new(base_.get(), -1, ssl, BUFFEREVENT_SSL_CONNECTING,
-                                                      BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent* stream = ssl == nullptr
+                            ? nullptr
+                            : bufferevent_openssl_socket_new(base_.get(), -1, ssl, BUFFEREVENT_SSL_CONNECTING,
+                                                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   if (stream == nullptr) throw std::bad_alloc();
   // A peer that closes without a word of it is told of as such; what had come by then is whole or it is not.
   bufferevent_openssl_set_allow_dirty_shutdown(stream, 0);
@@ -126,7 +126,8 @@
   table_.find(handle)->timeout = deadlines_.set(clock_.now() + timeout_ms, [this, handle] {
     const auto* late = table_.find(handle);
     // Its handshake begins when the connection is up.
-    const bool stalled = late->secured != nullptr && SSL_in_before(bufferevent_openssl_get_ssl(late->stream)) == 0;
+    const bool stalled =
+        late->secured != nullptr && SSL_in_before(bufferevent_openssl_get_ssl(late->stream)) == 0;
     drop(handle, stalled ? tls::reason::stalled : reason::connect_timeout);
   });
   return handle;
@@ -407,7 +408,8 @@
   if (connection == nullptr) return;
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     if (connection->secured != nullptr) {
-      const char* why = tls::Context::accept(bufferevent_openssl_get_ssl(connection->stream), *connection->secured);
+      const char* why =
+          tls::Context::accept(bufferevent_openssl_get_ssl(connection->stream), *connection->secured);
       if (why != nullptr) {
         log_refused(*connection, why);
         return drop(handle, why);
--- a/src/net/connections.hpp
+++ b/src/net/connections.hpp
@@ -15,8 +15,8 @@
 #include "core/clock.hpp"
 #include "core/deadlines.hpp"
 #include "core/slots.hpp"
-#include "net/address.hpp"
 #include "log/event.hpp"
+#include "net/address.hpp"
 #include "net/framing.hpp"
 #include "net/tls/context.hpp"
 
@@ -69,15 +69,16 @@
 
   /// `side` names the kind of peer in the log.
   Handle connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms);
-  /// The same with TLS: `timeout_ms` bounds the handshake too, and on_connected() comes after it. The id and name
-  /// are the converter's; its own session is taken up again where there is one. `offered`: there was one.
+  /// The same with TLS: `timeout_ms` bounds the handshake too, and on_connected() comes after it. The id and
+  /// name are the converter's; its own session is taken up again where there is one. `offered`: there was
+  /// one.
   struct Secured {
     std::shared_ptr<tls::Context> context;
     std::uint32_t id = 0;
     std::string name;
   };
-  Handle connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms, const Secured& secured,
-                 bool& offered);
+  Handle connect(const Address& to, ConnectionUser& user, const char* side, double timeout_ms,
+                 const Secured& secured, bool& offered);
   /// Of an open TLS connection: its session was taken up again.
   [[nodiscard]] bool resumed(Handle connection);
   /// When the certificate ends that the peer has shown, Unix ms; 0 for none.
--- a/src/net/tls/context.cpp
+++ b/src/net/tls/context.cpp
@@ -88,14 +88,16 @@
 }
 
 void check_dates(X509* certificate, const std::string& path, double now) {
-  const double from = unix_ms(X509_get0_notBefore(certificate)), to = unix_ms(X509_get0_notAfter(certificate));
+  const double from = unix_ms(X509_get0_notBefore(certificate)),
+               to = unix_ms(X509_get0_notAfter(certificate));
   if (now > to) {
-    throw InputError(path + ": its certificate of " + name_text(X509_get_subject_name(certificate)) + " expired at " +
-                     time_text(X509_get0_notAfter(certificate)) + "; expected one that is valid now");
+    throw InputError(path + ": its certificate of " + name_text(X509_get_subject_name(certificate)) +
+                     " expired at " + time_text(X509_get0_notAfter(certificate)) +
+                     "; expected one that is valid now");
   }
   if (now < from) {
-    throw InputError(path + ": its certificate is not valid before " + time_text(X509_get0_notBefore(certificate)) +
-                     "; expected one that is valid now");
+    throw InputError(path + ": its certificate is not valid before " +
+                     time_text(X509_get0_notBefore(certificate)) + "; expected one that is valid now");
   }
 }
 
@@ -106,8 +108,9 @@
   const auto error = ERR_peek_last_error();
   const bool at_end = ERR_GET_LIB(error) == ERR_LIB_PEM && ERR_GET_REASON(error) == PEM_R_NO_START_LINE;
   if (out.empty() || (error != 0 && !at_end)) {
-    throw InputError(path + ": " + (out.empty() ? "it holds no certificate" : "one of its certificates is broken") +
-                     " (" + openssl_error() + "); expected certificates in PEM");
+    throw InputError(path + ": " +
+                     (out.empty() ? "it holds no certificate" : "one of its certificates is broken") + " (" +
+                     openssl_error() + "); expected certificates in PEM");
   }
   ERR_clear_error();
   return out;
@@ -267,17 +270,23 @@
   read_pem(config_.key, secret.text);
   const Bio in(BIO_new_mem_buf(secret.text.data(), static_cast<int>(secret.text.size())));
   // A key under a passphrase is told of as broken: nobody is there to type it.
-  const Key key(PEM_read_bio_PrivateKey(in.get(), nullptr, [](char*, int, int, void*) { return 0; }, nullptr));
-  if (key == nullptr) throw InputError(config_.key + ": it holds no usable key (" + openssl_error() + "); expected one in PEM");
+  const Key key(PEM_read_bio_PrivateKey(
+      in.get(), nullptr, [](char*, int, int, void*) { return 0; }, nullptr));
+  if (key == nullptr)
+    throw InputError(config_.key + ": it holds no usable key (" + openssl_error() + "); expected one in PEM");
   if (X509_check_private_key(chain.front().get(), key.get()) != 1) {
     ERR_clear_error();
     throw InputError(config_.key + ": the key does not match the certificate in " + config_.certificate +
                      "; expected the key that it was made with");
   }
   auto* context = context_.get();
-  bool good = SSL_CTX_use_certificate(context, chain.front().get()) == 1 && SSL_CTX_use_PrivateKey(context, key.get()) == 1;
-  for (std::size_t i = 1; good && i < chain.size(); ++i) good = SSL_CTX_add1_chain_cert(context, chain[i].get()) == 1;
-  if (!good) throw InputError(config_.certificate + ": it cannot be used (" + openssl_error() + "); expected a strong key");
+  bool good = SSL_CTX_use_certificate(context, chain.front().get()) == 1 &&
+              SSL_CTX_use_PrivateKey(context, key.get()) == 1;
+  for (std::size_t i = 1; good && i < chain.size(); ++i)
+    good = SSL_CTX_add1_chain_cert(context, chain[i].get()) == 1;
+  if (!good)
+    throw InputError(config_.certificate + ": it cannot be used (" + openssl_error() +
+                     "); expected a strong key");
 }
 
 void Context::load_crl() {
@@ -319,7 +328,8 @@
   offered = false;
   if (auto* session = sessions_.take(connection.id); session != nullptr) {
     offered = SSL_SESSION_is_resumable(session) == 1 && SSL_set_session(ssl, session) == 1;
-    // A ticket of TLS 1.3 is for one use, after which others come; before it, one serves until it is declined.
+    // A ticket of TLS 1.3 is for one use, after which others come; before it, one serves until it is
+    // declined.
     if (offered && SSL_SESSION_get_protocol_version(session) < TLS1_3_VERSION) {
       sessions_.keep(connection.id, session);
     } else {
@@ -347,7 +357,8 @@
 
 int Context::on_session(SSL* ssl, SSL_SESSION* session) {
   auto* connection = connection_of(ssl);
-  if (connection == nullptr || connection->refused != nullptr || SSL_SESSION_is_resumable(session) != 1) return 0;
+  if (connection == nullptr || connection->refused != nullptr || SSL_SESSION_is_resumable(session) != 1)
+    return 0;
   connection->context->sessions_.keep(connection->id, session);
   return 1;
 }
@@ -361,7 +372,8 @@
     connection.shown_not_after = unix_ms(X509_get0_notAfter(certificate.get()));
   }
   // A session that was taken up again shows what was verified when it began; time has gone on since then.
-  if (config.verify && certificate != nullptr && X509_cmp_current_time(X509_get0_notAfter(certificate.get())) < 0) {
+  if (config.verify && certificate != nullptr &&
+      X509_cmp_current_time(X509_get0_notAfter(certificate.get())) < 0) {
     return connection.refused = reason::expired;
   }
   if (!config.pins.empty()) {
--- a/src/net/tls/context.hpp
+++ b/src/net/tls/context.hpp
@@ -1,5 +1,5 @@
-// TLS towards one pool: certificates checked whole before they are taken, what a peer shows verified, and each
-// way in which it may fail named. On OpenSSL; the connections are libevent's own TLS bufferevents.
+// TLS towards one pool: certificates checked whole before they are taken, what a peer shows verified, and
+// each way in which it may fail named. On OpenSSL; the connections are libevent's own TLS bufferevents.
 #pragma once
 
 #include <openssl/ssl.h>
@@ -43,12 +43,12 @@
 
 /// A certificate that ends soon, or has.
 struct Expiry {
-  std::string what;  ///< a file's path, or a converter's name
+  std::string what;      ///< a file's path, or a converter's name
   double not_after = 0;  ///< Unix ms
 };
 
-/// Sessions to resume, each for one converter id, newest first. Bounded; an id that another has taken over the
-/// address of brings nothing along.
+/// Sessions to resume, each for one converter id, newest first. Bounded; an id that another has taken over
+/// the address of brings nothing along.
 class Sessions {
  public:
   static constexpr std::size_t most = 1024, most_each = 2;
@@ -71,8 +71,8 @@
 
 class Context {
  public:
-  /// Reads and checks every file: key matches certificate, certificates parse and are valid now, key is nobody
-  /// else's to read. Throws InputError naming the file and the fault. May run on any thread.
+  /// Reads and checks every file: key matches certificate, certificates parse and are valid now, key is
+  /// nobody else's to read. Throws InputError naming the file and the fault. May run on any thread.
   Context(const TlsConfig& config, double now);
   ~Context();
   Context(const Context&) = delete;
@@ -88,8 +88,8 @@
     double shown_not_after = 0;
     bool done = false;  ///< the handshake came to its end
   };
-  /// A connection to a converter; a session of its own is offered where there is one. `connection` lives as long
-  /// as the SSL does. The caller owns the result.
+  /// A connection to a converter; a session of its own is offered where there is one. `connection` lives as
+  /// long as the SSL does. The caller owns the result.
   [[nodiscard]] SSL* open(Connection& connection, const Address& to, bool& offered);
   /// After the handshake: null, or why the connection must not be used.
   [[nodiscard]] static const char* accept(SSL* ssl, Connection& connection);
--- a/src/net/tls/ending.hpp
+++ b/src/net/tls/ending.hpp
@@ -10,7 +10,8 @@
 
 [[nodiscard]] inline handshakes::Ending ending_of(std::string_view why) {
   using handshakes::Ending;
-  if (why == heathturn::reason::refused || why == heathturn::reason::unreachable || why == heathturn::reason::too_many) {
+  if (why == heathturn::reason::refused || why == heathturn::reason::unreachable ||
+      why == heathturn::reason::too_many) {
     return Ending::refused;
   }
   if (why == heathturn::reason::connect_timeout || why == reason::stalled) return Ending::timed_out;
--- a/src/net/tls/tls_config.hpp
+++ b/src/net/tls/tls_config.hpp
@@ -17,7 +17,7 @@
   bool tls13_only = false;
   bool verify = true;
   double handshake_ms = 2000;
-  double most_age_ms = 0;  ///< of a connection; 0: any
+  double most_age_ms = 0;         ///< of a connection; 0: any
   std::uint32_t connections = 2;  ///< to one member
   bool operator==(const TlsConfig&) const = default;
 };
--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -91,7 +91,8 @@
     link.own = converter.entry.number == config_.settings.home;
     if (context_ && !link.own) {
       const auto& started = converter.entry.started;
-      admission_->listed(id, clock_.now(), started ? std::optional(to_ms(*started)) : std::nullopt, held_connections);
+      admission_->listed(id, clock_.now(), started ? std::optional(to_ms(*started)) : std::nullopt,
+                         held_connections);
     }
     numbers_.insert(converter.entry.number);
     if (converter.entry.state != ExchangeState::ready || link.own) continue;
@@ -140,7 +141,8 @@
   const double now = clock_.now();
   double latest = 0;
   for (const auto attempt : link.waiting) latest = std::max(latest, attempts_[attempt].due);
-  const auto verdict = admission_->ask(id, now, context_->sessions().has(id.value), latest > 0 ? latest : 1e300);
+  const auto verdict =
+      admission_->ask(id, now, context_->sessions().has(id.value), latest > 0 ? latest : 1e300);
   if (verdict.admitted) {
     link.lines[line].admitted = verdict.kind;
     link.lines[line].since = now;
@@ -214,8 +216,8 @@
   if (context_) {
     const auto& line = link.lines[at.line];
     const double now = clock_.now();
-    admission_->finished(at.exchange, now, line.admitted, handshakes::Ending::established, net_.resumed(connection),
-                         now - line.since);
+    admission_->finished(at.exchange, now, line.admitted, handshakes::Ending::established,
+                         net_.resumed(connection), now - line.since);
   }
   link.lines[at.line].open = true;
   link.lines[at.line].heard = clock_.now();
--- a/src/platform/platform_service.cpp
+++ b/src/platform/platform_service.cpp
@@ -75,8 +75,10 @@
 void PlatformService::read_again() {
   const auto fresh = parse_config(read_file(path_));
   secure();
-  if (fresh.listen != config_.listen) program_.log(LogLevel::warn, "takes_restart", {{"front", kind()}, {"key", "listen"}});
-  if (fresh.settings_text != config_.settings_text) program_.log(LogLevel::warn, "takes_restart", {{"front", kind()}, {"key", "settings"}});
+  if (fresh.listen != config_.listen)
+    program_.log(LogLevel::warn, "takes_restart", {{"front", kind()}, {"key", "listen"}});
+  if (fresh.settings_text != config_.settings_text)
+    program_.log(LogLevel::warn, "takes_restart", {{"front", kind()}, {"key", "settings"}});
   config_.sockets = fresh.sockets;
   config_.memory_mb = fresh.memory_mb;
   config_.most_requests = fresh.most_requests;
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -20,7 +20,9 @@
       started_(clock_.now()) {}
 
 LogSink Program::log_sink() {
-  return [this](LogLevel level, const char* event, const std::vector<LogField>& fields) { log(level, event, fields); };
+  return [this](LogLevel level, const char* event, const std::vector<LogField>& fields) {
+    log(level, event, fields);
+  };
 }
 
 void Program::log(LogLevel level, const char* event, const std::vector<LogField>& fields) {
--- a/src/routes/prefix_trie.cpp
+++ b/src/routes/prefix_trie.cpp
@@ -7,8 +7,8 @@
 
 PrefixTrie::PrefixTrie(std::vector<std::pair<std::string, std::uint32_t>> entries) {
   std::sort(entries.begin(), entries.end());
-  // Each node stands for the run of sorted entries that begin with its digits; in this order a node's children
-  // are appended together.
+  // Each node stands for the run of sorted entries that begin with its digits; in this order a node's
+  // children are appended together.
   struct Run {
     std::size_t from, to;
   };
@@ -27,7 +27,8 @@
       const char digit = entries[from].first[depth];
       auto end = from;
       while (end < to && entries[end].first[depth] == digit) ++end;
-      nodes_[i].digits = static_cast<std::uint16_t>(nodes_[i].digits | 1U << static_cast<unsigned>(digit - '0'));
+      nodes_[i].digits =
+          static_cast<std::uint16_t>(nodes_[i].digits | 1U << static_cast<unsigned>(digit - '0'));
       nodes_.emplace_back();
       runs.push_back({from, end});
       from = end;
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -18,7 +18,9 @@
 RouteTable::RouteTable(const EnumConfig& config) : config_(config), classes_(class_entries(config)) {
   order_.resize(config.routes.size());
   std::iota(order_.begin(), order_.end(), 0U);
-  const auto prefix = [&config](std::uint32_t index) -> const std::string& { return config.routes[index].prefix; };
+  const auto prefix = [&config](std::uint32_t index) -> const std::string& {
+    return config.routes[index].prefix;
+  };
   std::stable_sort(order_.begin(), order_.end(), [&](auto a, auto b) { return prefix(a) < prefix(b); });
   std::vector<std::pair<std::string, std::uint32_t>> entries;
   for (std::uint32_t i = 0; i < order_.size(); ++i) {
@@ -48,7 +50,8 @@
 }
 
 std::uint32_t RouteTable::class_of(std::string_view number, std::uint32_t tenant) const {
-  if (tenant != any && config_.tenants[tenant].traffic_class != any) return config_.tenants[tenant].traffic_class;
+  if (tenant != any && config_.tenants[tenant].traffic_class != any)
+    return config_.tenants[tenant].traffic_class;
   const auto found = classes_.longest(number);
   return found == PrefixTrie::none ? 0 : found;
 }
--- a/src/routes/selector.cpp
+++ b/src/routes/selector.cpp
@@ -111,7 +111,8 @@
 /// The place among the targets of the pool that has the first choice. The share of a pool with nobody in
 /// service goes to the others with a share, by theirs; then the order counts.
 std::size_t Selector::first_pool(const Route& route, const std::vector<Target>& targets) {
-  const auto sharing = std::count_if(targets.begin(), targets.end(), [](const auto& each) { return each.share > 0; });
+  const auto sharing =
+      std::count_if(targets.begin(), targets.end(), [](const auto& each) { return each.share > 0; });
   if (sharing > 1) {
     auto& state = route_states_[static_cast<std::uint32_t>(&route - config_->routes.data())];
     if (state.version != version_) {
@@ -131,8 +132,8 @@
   return first == targets.end() ? 0 : static_cast<std::size_t>(first - targets.begin());
 }
 
-/// Who is in service, in order: as `first`, the one whose turn it is; then those that are owed most, the other
-/// zones, and those without a weight.
+/// Who is in service, in order: as `first`, the one whose turn it is; then those that are owed most, the
+/// other zones, and those without a weight.
 void Selector::add_members(PoolState& pool, bool first, std::vector<ExchangeNumber>& out) {
   std::size_t chosen = Spread::none;
   if (first) {
--- a/src/routes/spread.hpp
+++ b/src/routes/spread.hpp
@@ -7,16 +7,16 @@
 
 namespace heathturn::routes {
 
-/// A deterministic spread after Tijdeman ("The chairman assignment problem", 1980). As long as the shares stay
-/// as they are, after any number of turns each slot has had its share of them, off by less than 1 - 1/(2n-2)
-/// turns for n slots. When slots come and go, what each is owed stays with it, also while it is away: over any
-/// number of changes none is off by more than n turns, counting the slots that are away. At most
-/// `most_away` of these are remembered; what the one that left first is owed then goes to the others.
+/// A deterministic spread after Tijdeman ("The chairman assignment problem", 1980). As long as the shares
+/// stay as they are, after any number of turns each slot has had its share of them, off by less than 1 -
+/// 1/(2n-2) turns for n slots. When slots come and go, what each is owed stays with it, also while it is
+/// away: over any number of changes none is off by more than n turns, counting the slots that are away. At
+/// most `most_away` of these are remembered; what the one that left first is owed then goes to the others.
 class Spread {
  public:
   struct Slot {
-    std::uint64_t id = 0;   ///< tells the slot again after a change
-    double weight = 0;      ///< not negative; 0 takes no turn
+    std::uint64_t id = 0;  ///< tells the slot again after a change
+    double weight = 0;     ///< not negative; 0 takes no turn
   };
   /// In any order; ids differ.
   void set(const std::vector<Slot>& slots);
@@ -38,7 +38,7 @@
   void settle(double credit);
   std::vector<State> slots_;
   std::vector<State> away_;  ///< who left first comes first
-  std::size_t taking_ = 0;  ///< slots with a share
+  std::size_t taking_ = 0;   ///< slots with a share
 };
 
 }  // namespace heathturn::routes
--- a/tests/router/appliance_test.cpp
+++ b/tests/router/appliance_test.cpp
@@ -35,7 +35,8 @@
            R"(,"@enabled":"true"},"metadata":{"number":"0","lookups":"8"}}]}]}})";
   }
   [[nodiscard]] std::string config(const std::string& more = "") const {
-    return "registry { name: \"r\" address: \"" + listener.address().text() + "\" fetch_every: \"50ms\" " + more + "}\n";
+    return "registry { name: \"r\" address: \"" + listener.address().text() + "\" fetch_every: \"50ms\" " +
+           more + "}\n";
   }
 };
 
@@ -83,7 +84,8 @@
 
 TEST_CASE("the program registers itself, keeps itself known, and takes itself off") {
   const Registry registry;
-  const Enum e(8, registry.config(R"(register { application: "HEATHTURN" instance: "h 1" heartbeat: "50ms" })"), true);
+  const Enum e(
+      8, registry.config(R"(register { application: "HEATHTURN" instance: "h 1" heartbeat: "50ms" })"), true);
   std::vector<std::string> seen;
   bool leaving = false;
   while (seen.size() < 4) {
--- a/tests/router/config_test.cpp
+++ b/tests/router/config_test.cpp
@@ -78,7 +78,8 @@
   CHECK(*units::rate("30/m").value == Approx(0.5));
   CHECK(units::rate("30").fault == "has no unit");
   for (const char* each : {"300ms", "1.5s", "90s", "2m", "0.25ms", "1.25s"}) {
-    CHECK(*units::duration(units::duration_text(*units::duration(each).value)).value == *units::duration(each).value);
+    CHECK(*units::duration(units::duration_text(*units::duration(each).value)).value ==
+          *units::duration(each).value);
   }
   CHECK(units::rate_text(*units::rate("30/m").value) == "30/m");
   CHECK(units::rate_text(*units::rate("7/h").value) == "7/h");
@@ -131,7 +132,8 @@
     std::string told;
     for (const auto& each : faults.all()) told += (told.empty() ? "" : "\n") + each.line_text();
     // Places in other files of the corpus are told by their whole path.
-    for (auto at = told.find(folder.string() + "/"); at != std::string::npos; at = told.find(folder.string() + "/")) {
+    for (auto at = told.find(folder.string() + "/"); at != std::string::npos;
+         at = told.find(folder.string() + "/")) {
       told.erase(at, folder.string().size() + 1);
     }
     CHECK(told == first.substr(9));
@@ -153,9 +155,9 @@
   folder.write("a.textproto", "include: \"b.textproto\"\n");
   folder.write("b.textproto", "\ninclude: \"c.textproto\"\n");
   folder.write("c.textproto", "\n\n  include: \"a.textproto\"\n");
-  CHECK(only_fault(at + "a.textproto").starts_with(at + "c.textproto:3:3: include: an include cycle: " + at +
-                                                   "a.textproto -> " + at + "b.textproto -> " + at +
-                                                   "c.textproto -> " + at + "a.textproto; expected "));
+  CHECK(only_fault(at + "a.textproto")
+            .starts_with(at + "c.textproto:3:3: include: an include cycle: " + at + "a.textproto -> " + at +
+                         "b.textproto -> " + at + "c.textproto -> " + at + "a.textproto; expected "));
   const auto text = read_file(HEATHTURN_SITE_FILE);
   folder.write("site.textproto", text);
   folder.write("left.textproto", "include: \"site.textproto\"\n");
@@ -178,7 +180,8 @@
   CHECK(holds(only_fault(large), "has 60000000 bytes; expected no more than 33554432"));
   const auto text = read_file(HEATHTURN_SITE_FILE);
   const auto latin = folder.write("latin", "listen: \"127.0.0.1:1\"\n# caf\xe9\n");
-  CHECK(only_fault(latin) == latin + ":2:6: syntax: a byte here is no text; expected UTF-8 without zero bytes");
+  CHECK(only_fault(latin) ==
+        latin + ":2:6: syntax: a byte here is no text; expected UTF-8 without zero bytes");
   // Cut off anywhere, it is either told of in one or more faults, or it is whole as far as it goes.
   std::size_t told = 0;
   for (std::size_t length = 0; length < text.size(); length += 7) {
@@ -254,12 +257,15 @@
   };
   const auto gap = [&] { return pick({" ", "\n", "  ", "\n\n", " # remark\n", "\n# a line\n", "\t"}); };
   const auto colon = [&] { return pick({":", ": ", " : ", ":\n"}); };
-  const auto text = [&](const std::string& value) { return pick({"'", "\""}) == "'" ? "'" + value + "'" : "\"" + value + "\""; };
-  std::string out = gap() + "listen" + colon() + text("127.0.0.1:1") + gap() + "suffix" + colon() + "\"e.\" \"org\"" + gap();
+  const auto text = [&](const std::string& value) {
+    return pick({"'", "\""}) == "'" ? "'" + value + "'" : "\"" + value + "\"";
+  };
+  std::string out = gap() + "listen" + colon() + text("127.0.0.1:1") + gap() + "suffix" + colon() +
+                    "\"e.\" \"org\"" + gap();
   const auto classes = 1 + random() % 3;
   for (unsigned i = 0; i < classes; ++i) {
-    out += "class" + pick({" ", ": ", ""}) + "{" + gap() + "name" + colon() + text("c" + std::to_string(i)) + pick({",", ";", " "}) +
-           gap() + "worth:" + std::to_string(random() % 9) + gap() + "}" + gap();
+    out += "class" + pick({" ", ": ", ""}) + "{" + gap() + "name" + colon() + text("c" + std::to_string(i)) +
+           pick({",", ";", " "}) + gap() + "worth:" + std::to_string(random() % 9) + gap() + "}" + gap();
   }
   const auto pools = 1 + random() % 4;
   for (unsigned i = 0; i < pools; ++i) {
@@ -267,20 +273,20 @@
     out += "pool <" + gap() + "name: " + text(name) + gap() + "member" + pick({"", ":"}) + " [" + gap();
     const auto members = 1 + random() % 3;
     for (unsigned k = 0; k < members; ++k) {
-      out += std::string(k > 0 ? "," : "") + gap() + "{name: " + text(name + "m" + std::to_string(k)) + gap() +
-             "address: \"127.0.0.1:" + std::to_string(1 + random() % 9) + "\"" + gap() + "}";
+      out += std::string(k > 0 ? "," : "") + gap() + "{name: " + text(name + "m" + std::to_string(k)) +
+             gap() + "address: \"127.0.0.1:" + std::to_string(1 + random() % 9) + "\"" + gap() + "}";
     }
     out += gap() + "]" + gap() + ">" + gap();
   }
   out += "policy { name: \"p\"" + gap() + "attempts: " + std::to_string(1 + random() % 6) + "}" + gap();
   const auto routes = 1 + random() % 6;
   for (unsigned i = 0; i < routes; ++i) {
-    out += "route {" + gap() + "prefix" + colon() + "[" + gap() + text("6" + std::to_string(i)) + gap() + "," + text("7" + std::to_string(i)) +
-           gap() + "]" + gap();
+    out += "route {" + gap() + "prefix" + colon() + "[" + gap() + text("6" + std::to_string(i)) + gap() +
+           "," + text("7" + std::to_string(i)) + gap() + "]" + gap();
     const auto first = random() % pools, second = random() % pools;
     if (first != second) {
-      out += "to { pool: " + text("p" + std::to_string(first)) + gap() + "share: '0.25' }" + gap() + "to { share: \"75%\"" + gap() +
-             "pool: " + text("p" + std::to_string(second)) + "}" + gap();
+      out += "to { pool: " + text("p" + std::to_string(first)) + gap() + "share: '0.25' }" + gap() +
+             "to { share: \"75%\"" + gap() + "pool: " + text("p" + std::to_string(second)) + "}" + gap();
     } else {
       out += "to { pool: " + text("p" + std::to_string(first)) + "}" + gap();
     }
@@ -299,7 +305,9 @@
   return out;
 }
 
-TEST_CASE("layout: stable, every comment kept, the same meaning; a file differs in nothing from its formatted self") {
+TEST_CASE(
+    "layout: stable, every comment kept, the same meaning; a file differs in nothing from its formatted "
+    "self") {
   PROPERTY("generated files", [](unsigned seed) {
     std::mt19937 random(seed);
     const auto text = random_site(random);
@@ -339,10 +347,12 @@
   const auto pool = [](const std::string& name) {
     return "pool { name: \"" + name + "\" member { name: \"" + name + "1\" address: \"127.0.0.1:1\" } }\n";
   };
-  return "listen: \"127.0.0.1:0\"\nsuffix: \"e.org\"\nclass { name: \"a\" }\n" + pool("north") + pool("south") + more + routes;
+  return "listen: \"127.0.0.1:0\"\nsuffix: \"e.org\"\nclass { name: \"a\" }\n" + pool("north") +
+         pool("south") + more + routes;
 }
 
-std::vector<std::string> changes(const std::string& before, const std::string& after, std::string* summary = nullptr) {
+std::vector<std::string> changes(const std::string& before, const std::string& after,
+                                 std::string* summary = nullptr) {
   const TempFile old(before), fresh(after);
   const auto difference = diff_sites(load_site(old.path()), load_site(fresh.path()));
   if (summary != nullptr) *summary = difference.summary();
@@ -362,32 +372,47 @@
   using Lines = std::vector<std::string>;
   const auto base = route("prefix: \"649\"", shares("90%", "10%")) + route("", "to { pool: \"north\" }");
   std::string summary;
-  CHECK(changes(site_text(base), site_text(route("prefix: \"649\"", shares("70%", "30%")) + route("", "to { pool: \"north\" }")),
-                &summary) == Lines{"numbers 649: 70% to pool north, was 90%; 30% to pool south, was 10%"});
+  CHECK(
+      changes(site_text(base),
+              site_text(route("prefix: \"649\"", shares("70%", "30%")) + route("", "to { pool: \"north\" }")),
+              &summary) == Lines{"numbers 649: 70% to pool north, was 90%; 30% to pool south, was 10%"});
   CHECK(summary == "about 1 of 2 ranges of numbers change their first pool");
   // Order of things, shares written otherwise, a route that changes nothing: no difference.
-  CHECK(changes(site_text(base), site_text(route("", "to { pool: \"north\" }") + route("prefix: \"649\"", shares("0.9", "0.1")) +
+  CHECK(changes(site_text(base), site_text(route("", "to { pool: \"north\" }") +
+                                           route("prefix: \"649\"", shares("0.9", "0.1")) +
                                            route("prefix: \"64\"", "to { pool: \"north\" }")))
             .empty());
   // A route that goes leaves its numbers to the shorter prefix.
   CHECK(changes(site_text(base), site_text(route("", "to { pool: \"north\" }"))) ==
         Lines{"numbers 649: 100% to pool north, was 90%; no longer to pool south, was 10%"});
-  CHECK(changes(site_text(route("prefix: \"649\"", "to { pool: \"north\" }")), site_text(route("prefix: \"648\"", "to { pool: \"north\" }"))) ==
-        Lines{"numbers 648: new: 100% to pool north; policy default", "numbers 649: no route any more, was 100% to pool north; policy default"});
+  CHECK(changes(site_text(route("prefix: \"649\"", "to { pool: \"north\" }")),
+                site_text(route("prefix: \"648\"", "to { pool: \"north\" }"))) ==
+        Lines{"numbers 648: new: 100% to pool north; policy default",
+              "numbers 649: no route any more, was 100% to pool north; policy default"});
   // By time of the week alone.
-  CHECK(changes(site_text(base), site_text(route("prefix: \"649\" when: \"Sat-Sun\"", "to { pool: \"south\" }") + base)) ==
+  CHECK(changes(site_text(base),
+                site_text(route("prefix: \"649\" when: \"Sat-Sun\"", "to { pool: \"south\" }") + base)) ==
         Lines{"numbers 649, Sat, Sun: 100% to pool south, was 10%; no longer to pool north, was 90%"});
   const std::string tenant = "tenant { name: \"tui\" network: \"10.0.0.0/8\" }\n";
-  CHECK(changes(site_text(base, tenant), site_text(route("prefix: \"649\" tenant: \"tui\"", "to { pool: \"south\" }") + base, tenant)) ==
-        Lines{"numbers 649, tenant tui: 100% to pool south, was 10%; no longer to pool north, was 90%"});
-  const std::string slow = "policy { name: \"p\" deadline: \"2s\" attempts: 2 }\n", slower = "policy { name: \"p\" deadline: \"3s\" attempts: 2 rate: \"5/s\" }\n";
+  CHECK(
+      changes(site_text(base, tenant),
+              site_text(route("prefix: \"649\" tenant: \"tui\"", "to { pool: \"south\" }") + base, tenant)) ==
+      Lines{"numbers 649, tenant tui: 100% to pool south, was 10%; no longer to pool north, was 90%"});
+  const std::string slow = "policy { name: \"p\" deadline: \"2s\" attempts: 2 }\n",
+                    slower = "policy { name: \"p\" deadline: \"3s\" attempts: 2 rate: \"5/s\" }\n";
   CHECK(changes(site_text(base, slow), site_text(base, slower)) ==
         Lines{"policy p: deadline 3s, was 2s", "policy p: rate 5/s burst 1, was no limit"});
-  const auto lines = changes(site_text(base), site_text(base + "decisions { attempts: 2 }\n", "pool { name: \"west\" member { name: \"w\" address: \"127.0.0.1:2\" } }\npolicy { name: \"default\" attempts: 2 }\n"));
-  CHECK(lines == Lines{"decisions: attempts 2, was 6", "pool west: new", "policy default: attempts 2, was 3"});
+  const auto lines =
+      changes(site_text(base), site_text(base + "decisions { attempts: 2 }\n",
+                                         "pool { name: \"west\" member { name: \"w\" address: "
+                                         "\"127.0.0.1:2\" } }\npolicy { name: \"default\" attempts: 2 }\n"));
+  CHECK(lines ==
+        Lines{"decisions: attempts 2, was 6", "pool west: new", "policy default: attempts 2, was 3"});
 }
 
-TEST_CASE("diff and show on the command line: sentences, JSON, exit statuses, and why a number goes where it goes") {
+TEST_CASE(
+    "diff and show on the command line: sentences, JSON, exit statuses, and why a number goes where it "
+    "goes") {
   const Folder folder;
   const auto example = std::string(HEATHTURN_SITE_FILE);
   auto text = read_file(example);
--- a/tests/router/enum_stand_in.hpp
+++ b/tests/router/enum_stand_in.hpp
@@ -66,7 +66,8 @@
   /// Numbers under 64 to the one first, all others to the other.
   static std::string routes(const std::string& under_64, const std::string& others) {
     const auto route = [](const std::string& prefix, const std::string& first, const std::string& then) {
-      return "route { prefix: \"" + prefix + "\" to { pool: \"" + first + "\" } to { pool: \"" + then + "\" } }\n";
+      return "route { prefix: \"" + prefix + "\" to { pool: \"" + first + "\" } to { pool: \"" + then +
+             "\" } }\n";
     };
     return route("64", under_64, others) + route("", others, under_64);
   }
--- a/tests/router/routes_test.cpp
+++ b/tests/router/routes_test.cpp
@@ -37,7 +37,8 @@
         if (number.starts_with(prefix)) expected.push_back(value);  // the map has the shortest first
       }
       const auto path = trie.path(number);
-      RC_ASSERT(std::vector(path.values.begin(), path.values.begin() + static_cast<long>(path.size)) == expected);
+      RC_ASSERT(std::vector(path.values.begin(), path.values.begin() + static_cast<long>(path.size)) ==
+                expected);
       RC_ASSERT(trie.longest(number) == (expected.empty() ? PrefixTrie::none : expected.back()));
     }
   });
@@ -59,7 +60,8 @@
     const double bound = 1 - 1 / (2 * static_cast<double>(count) - 2) + 1e-6;
     for (int k = 1; k <= 2000; ++k) {
       ++turns[spread.next()];
-      for (std::size_t i = 0; i < count; ++i) RC_ASSERT(std::abs(turns[i] - k * slots[i].weight / sum) <= bound);
+      for (std::size_t i = 0; i < count; ++i)
+        RC_ASSERT(std::abs(turns[i] - k * slots[i].weight / sum) <= bound);
     }
   });
 }
@@ -109,7 +111,8 @@
   std::vector<std::vector<Listed>> out;
   for (const auto& pool : config.pools) {
     out.emplace_back();
-    for (const auto& each : pool.members) out.back().push_back({each.converter.name, each.weight, each.zone, true});
+    for (const auto& each : pool.members)
+      out.back().push_back({each.converter.name, each.weight, each.zone, true});
   }
   return out;
 }
@@ -121,8 +124,11 @@
 TEST_CASE("longest prefix, class, tenant and time choose the route; the rest goes on to shorter prefixes") {
   const auto config = site(
       "class { name: \"b\" prefix: \"645\" } time_zone: \"+12:00\" "
-      "tenant { name: \"tui\" network: \"10.0.0.0/8\" } tenant { name: \"matai\" network: \"10.1.0.0/16\" class: \"b\" } "
-      "pool { name: \"p\" " + member("p1") + "} pool { name: \"q\" " + member("q1") + "} "
+      "tenant { name: \"tui\" network: \"10.0.0.0/8\" } tenant { name: \"matai\" network: \"10.1.0.0/16\" "
+      "class: \"b\" } "
+      "pool { name: \"p\" " +
+      member("p1") + "} pool { name: \"q\" " + member("q1") +
+      "} "
       "policy { name: \"slow\" deadline: \"3s\" } "
       "route { prefix: \"64\" tenant: \"tui\" to { pool: \"q\" } } "
       "route { prefix: \"64\" prefix: \"61\" class: \"b\" to { pool: \"q\" } } "
@@ -156,14 +162,17 @@
   CHECK(route("", any, "Mon 12:00") == -1);
   // 2026-12-01 was a Tuesday; 11:30 UTC is 23:30 at +12:00.
   const double at = 1796124600000.0;
-  CHECK(units::week_text({{units::minute_of_week(at, config->zone), units::minutes_a_week}}).starts_with("Tue 23:30"));
+  CHECK(units::week_text({{units::minute_of_week(at, config->zone), units::minutes_a_week}})
+            .starts_with("Tue 23:30"));
 }
 
 TEST_CASE("the first choices keep the shares of pools and members, and all others follow in order") {
-  const auto config = site("pool { name: \"p\" zone: \"akl\" " + member("p1", "zone: \"akl\" weight: 3") +
-                           member("p2", "zone: \"akl\"") + member("far", "zone: \"wlg\"") + member("idle", "weight: 0 zone: \"akl\"") +
-                           "} pool { name: \"q\" " + member("q1") + "} pool { name: \"r\" " + member("r1") + "} " +
-                           "route { to { pool: \"p\" share: \"70%\" } to { pool: \"q\" share: \"30%\" } to { pool: \"r\" } }");
+  const auto config = site(
+      "pool { name: \"p\" zone: \"akl\" " + member("p1", "zone: \"akl\" weight: 3") +
+      member("p2", "zone: \"akl\"") + member("far", "zone: \"wlg\"") +
+      member("idle", "weight: 0 zone: \"akl\"") + "} pool { name: \"q\" " + member("q1") +
+      "} pool { name: \"r\" " + member("r1") + "} " +
+      "route { to { pool: \"p\" share: \"70%\" } to { pool: \"q\" share: \"30%\" } to { pool: \"r\" } }");
   Selector selector(config);
   auto members = listed(*config);
   selector.list(members);
@@ -181,7 +190,9 @@
   CHECK(std::abs(first[number("q1")] - 300) <= 1);
   CHECK(first.size() == 3);
   const auto one = selector.choose({"641", 0, any, 0})->candidates;
-  const auto place = [&](const char* name) { return std::find(one.begin(), one.end(), number(name)) - one.begin(); };
+  const auto place = [&](const char* name) {
+    return std::find(one.begin(), one.end(), number(name)) - one.begin();
+  };
   CHECK(place("far") < place("idle"));
   CHECK(place("p2") < place("far"));
   // A whole zone out of service: the next one takes over. A whole pool: the others, by their shares.
@@ -192,7 +203,8 @@
   CHECK(std::abs(first[number("far")] - 70) <= 2);
   for (auto& each : members[0]) each.ready = false;
   selector.list(members);
-  for (int i = 0; i < 100; ++i) CHECK(selector.choose({"641", 0, any, 0})->candidates.front() == number("q1"));
+  for (int i = 0; i < 100; ++i)
+    CHECK(selector.choose({"641", 0, any, 0})->candidates.front() == number("q1"));
   members[1][0].ready = false;
   selector.list(members);
   CHECK(selector.choose({"641", 0, any, 0})->candidates == std::vector{number("r1")});
@@ -202,8 +214,9 @@
 }
 
 TEST_CASE("members that are new all day long leave nothing behind, and no number is given out again soon") {
-  const auto config = site("registry { name: \"r\" address: \"127.0.0.1:1\" } pool { name: \"p\" from_registry "
-                           "{ registry: \"r\" application: \"x\" } } route { to { pool: \"p\" } }");
+  const auto config = site(
+      "registry { name: \"r\" address: \"127.0.0.1:1\" } pool { name: \"p\" from_registry "
+      "{ registry: \"r\" application: \"x\" } } route { to { pool: \"p\" } }");
   Selector selector(config);
   ExchangeNumber highest = 0, before = no_exchange;
   for (int i = 0; i < 10000; ++i) {
@@ -246,7 +259,8 @@
 }
 
 TEST_CASE("a reload keeps what is open under a policy, and shares are counted afresh") {
-  const std::string rest = "pool { name: \"p\" " + member("p1") + "} pool { name: \"q\" " + member("q1") + "} " +
+  const std::string rest = "pool { name: \"p\" " + member("p1") + "} pool { name: \"q\" " + member("q1") +
+                           "} " +
                            "route { to { pool: \"p\" share: \"50%\" } to { pool: \"q\" share: \"50%\" } }";
   const auto before = site("policy { name: \"default\" most_open: 2 } " + rest);
   Selector selector(before);
--- a/tests/router/site_test.cpp
+++ b/tests/router/site_test.cpp
@@ -1,4 +1,5 @@
-// What the operator's file says, at work in the real program: shares, classes, tenants, policies, reloads, log.
+// What the operator's file says, at work in the real program: shares, classes, tenants, policies, reloads,
+// log.
 #include <rapidjson/document.h>
 
 #include <set>
@@ -86,7 +87,8 @@
 TEST_CASE("where nothing is in service, the answer comes at once") {
   const Socket registry = Socket::bound(SOCK_STREAM);
   const Enum e("registry { name: \"r\" address: \"" + registry.address().text() +
-               "\" }\npool { name: \"p\" from_registry { registry: \"r\" application: \"x\" } }\nroute { to { pool: \"p\" } }\n");
+               "\" }\npool { name: \"p\" from_registry { registry: \"r\" application: \"x\" } }\nroute { to "
+               "{ pool: \"p\" } }\n");
   const double from = now_ms();
   CHECK(e.exchange(Enum::query(Enum::under("1.1"))).rcode == dns::rcode::serv_fail);
   CHECK(now_ms() - from < deadline_ms / 2);
@@ -96,7 +98,9 @@
   const std::string routes[2] = {"route { to { pool: \"p\" } to { pool: \"q\" } }\n",
                                  "route { to { pool: \"q\" } to { pool: \"p\" } }\n"};
   const Enum e(two_pools + routes[0]);
-  const auto text = [&](const std::string& rest) { return Enum::front() + e.with_addresses(two_pools + rest); };
+  const auto text = [&](const std::string& rest) {
+    return Enum::front() + e.with_addresses(two_pools + rest);
+  };
   std::uint16_t id = 0;
   std::set<std::uint16_t> open;
   const auto load = [&](int count) {
@@ -130,8 +134,10 @@
   CHECK(e.answer().id == id);
 }
 
-TEST_CASE("an open look-up ends under the policy that it began with; a version that takes a restart is not taken") {
-  const std::string policy = "policy { name: \"default\" deadline: \"1500ms\" }\n", short_one = "policy { name: \"default\" deadline: \"200ms\" }\n";
+TEST_CASE(
+    "an open look-up ends under the policy that it began with; a version that takes a restart is not taken") {
+  const std::string policy = "policy { name: \"default\" deadline: \"1500ms\" }\n",
+                    short_one = "policy { name: \"default\" deadline: \"200ms\" }\n";
   const std::string route = "route { to { pool: \"p\" } }\nroute { prefix: \"9\" to { pool: \"q\" } }\n";
   const Enum e(two_pools + policy + route);
   const double from = now_ms();
@@ -161,8 +167,8 @@
   auto text = Enum::front() + e.with_addresses(two_pools + policy + route);
   e.file->write("console: \"/tmp/none.socket\"\n" + text);
   e.program->signal(SIGHUP);
-  CHECK(e.program->log("event=configuration_kept").find("it takes a restart, and nothing of the file is taken") !=
-        std::string::npos);
+  CHECK(e.program->log("event=configuration_kept")
+            .find("it takes a restart, and nothing of the file is taken") != std::string::npos);
   e.ask(Enum::query(Enum::under("3.9"), 3));
   const double again = now_ms();
   CHECK(e.answer().id == 3);
@@ -198,8 +204,10 @@
 }
 
 TEST_CASE("each line of a JSON log is an object with its event, and a level leaves lines out") {
-  const TempFile file("listen: \"127.0.0.1:0\" suffix: \"e.org\" class { name: \"a\" } pool { name: \"p\" member { name: \"m\" "
-                      "address: \"127.0.0.1:1\" } } route { to { pool: \"p\" } }");
+  const TempFile file(
+      "listen: \"127.0.0.1:0\" suffix: \"e.org\" class { name: \"a\" } pool { name: \"p\" member { name: "
+      "\"m\" "
+      "address: \"127.0.0.1:1\" } } route { to { pool: \"p\" } }");
   Process program({"serve", "--site", file.path(), "--log-format", "json"});
   program.log("\"event\":\"listening\"");
   program.signal(SIGTERM);
--- a/tests/router/tls_stand_in.hpp
+++ b/tests/router/tls_stand_in.hpp
@@ -1,4 +1,5 @@
-// A certificate authority made by the test itself, and name servers that speak DNS over TLS with its certificates.
+// A certificate authority made by the test itself, and name servers that speak DNS over TLS with its
+// certificates.
 #pragma once
 
 #include <netinet/in.h>
@@ -33,7 +34,9 @@
     return text([this](BIO* out) { PEM_write_bio_X509(out, certificate.get()); });
   }
   [[nodiscard]] std::string key_pem() const {
-    return text([this](BIO* out) { PEM_write_bio_PrivateKey(out, key.get(), nullptr, nullptr, 0, nullptr, nullptr); });
+    return text([this](BIO* out) {
+      PEM_write_bio_PrivateKey(out, key.get(), nullptr, nullptr, 0, nullptr, nullptr);
+    });
   }
   template <typename Write>
   static std::string text(const Write& write) {
@@ -101,7 +104,8 @@
   std::shared_ptr<X509_CRL> list(X509_CRL_new(), X509_CRL_free);
   X509_CRL_set_version(list.get(), 1);
   X509_CRL_set_issuer_name(list.get(), X509_get_subject_name(by.certificate.get()));
-  std::shared_ptr<ASN1_TIME> from(X509_gmtime_adj(nullptr, -3600), ASN1_TIME_free), to(X509_gmtime_adj(nullptr, 86400), ASN1_TIME_free);
+  std::shared_ptr<ASN1_TIME> from(X509_gmtime_adj(nullptr, -3600), ASN1_TIME_free),
+      to(X509_gmtime_adj(nullptr, 86400), ASN1_TIME_free);
   X509_CRL_set1_lastUpdate(list.get(), from.get());
   X509_CRL_set1_nextUpdate(list.get(), to.get());
   X509_REVOKED* entry = X509_REVOKED_new();
@@ -117,7 +121,7 @@
  public:
   struct Behaviour {
     int highest = TLS1_3_VERSION;
-    std::string alpn{};            ///< the one that it agrees to; empty: none
+    std::string alpn{};  ///< the one that it agrees to; empty: none
     std::string uri = "sip:tls@example.org";
     std::size_t cut_after = 0;     ///< bytes of the handshake that it lets out; 0: all
     bool close_after_one = false;  ///< ends each connection after an answer
@@ -141,7 +145,8 @@
     }
     SSL_CTX_set_alpn_select_cb(
         context,
-        [](SSL*, const unsigned char** out, unsigned char* length, const unsigned char* in, unsigned size, void* self) {
+        [](SSL*, const unsigned char** out, unsigned char* length, const unsigned char* in, unsigned size,
+           void* self) {
           const auto& wanted = static_cast<TlsServer*>(self)->behaviour_.alpn;
           for (unsigned at = 0; at < size; at += 1U + in[at]) {
             if (std::string(reinterpret_cast<const char*>(in) + at + 1, in[at]) != wanted) continue;
--- a/tests/router/tls_test.cpp
+++ b/tests/router/tls_test.cpp
@@ -1,5 +1,5 @@
-// DNS over TLS towards name servers of the test's own: who is taken, who is refused and how clearly, sessions,
-// certificates replaced in service.
+// DNS over TLS towards name servers of the test's own: who is taken, who is refused and how clearly,
+// sessions, certificates replaced in service.
 #include <sys/stat.h>
 
 #include <chrono>
@@ -35,7 +35,8 @@
 };
 
 std::string tls_pool(const Address& at, const std::string& tls, const std::string& member = "secure") {
-  return "pool { name: \"p\" member { name: \"" + member + "\" address: \"" + at.text() + "\" } tls { " + tls + " } }\n";
+  return "pool { name: \"p\" member { name: \"" + member + "\" address: \"" + at.text() + "\" } tls { " +
+         tls + " } }\n";
 }
 std::string trusting(const Files& files, const std::string& more = "") {
   return "trust: \"" + files.trust + "\" handshake: \"1s\" " + more;
@@ -43,7 +44,8 @@
 const std::string to_p = "route { to { pool: \"p\" } }\n";
 /// What the first cannot answer is asked of a plain name server.
 const std::string p_then_plain =
-    "pool { name: \"q\" member { name: \"plain\" address: \"$0\" } }\nroute { to { pool: \"p\" } to { pool: \"q\" } }\n";
+    "pool { name: \"q\" member { name: \"plain\" address: \"$0\" } }\nroute { to { pool: \"p\" } to { pool: "
+    "\"q\" } }\n";
 
 bool served(const Enum& e, std::uint16_t id, const std::string& uri = "sip:tls@example.org") {
   const auto answer = e.exchange(Enum::query(Enum::under(std::to_string(id % 10) + ".1"), id));
@@ -58,10 +60,12 @@
   const auto own = issue(wanted, &files.root);
   unsigned char base64[64];
   const auto digest = tls::public_key_pin(own.certificate.get());
-  EVP_EncodeBlock(base64, reinterpret_cast<const unsigned char*>(digest.data()), static_cast<int>(digest.size()));
+  EVP_EncodeBlock(base64, reinterpret_cast<const unsigned char*>(digest.data()),
+                  static_cast<int>(digest.size()));
   const auto pin = std::string("sha256/") + reinterpret_cast<const char*>(base64);
-  for (const auto& more : {std::string(), std::string("name: \"ns.example.org\""), std::string("alpn: \"dot\" lowest: \"1.3\""),
-                           "pin: \"" + pin + "\" pin: \"sha256/AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\""}) {
+  for (const auto& more :
+       {std::string(), std::string("name: \"ns.example.org\""), std::string("alpn: \"dot\" lowest: \"1.3\""),
+        "pin: \"" + pin + "\" pin: \"sha256/AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\""}) {
     INFO(more);
     TlsServer server(own, {.alpn = "dot"});
     const Enum e(tls_pool(server.address(), trusting(files, more)) + to_p);
@@ -111,8 +115,8 @@
     const auto asked = e.asked(0);
     e.send(0, asked, Enum::reply(asked.message, "sip:plain@example.org"));
     CHECK(holds(e.answer(), "sip:plain@example.org"));
-    const auto line = e.program->log(std::string("event=tls_refused converter=secure peer=") + server.address().text() +
-                                     " reason=" + each.reason);
+    const auto line = e.program->log(std::string("event=tls_refused converter=secure peer=") +
+                                     server.address().text() + " reason=" + each.reason);
     if (each.behaviour.cut_after == 0 && each.behaviour.highest == TLS1_3_VERSION) {
       CHECK(line.find("CN=a name server") != std::string::npos);
       CHECK(line.find("not_after=20") != std::string::npos);
@@ -132,7 +136,9 @@
     e.program->log("reason=tls_plain_text");
   }
   const auto listener = Socket::bound(SOCK_STREAM);
-  const Enum e(tls_pool(listener.address(), trusting(files, "").replace(trusting(files).find("1s"), 2, "100ms")) + p_then_plain);
+  const Enum e(
+      tls_pool(listener.address(), trusting(files, "").replace(trusting(files).find("1s"), 2, "100ms")) +
+      p_then_plain);
   e.ask(Enum::query(Enum::under("1.1"), 9));
   const auto silent = listener.accept();
   e.program->log("reason=tls_stalled");
@@ -184,12 +190,15 @@
   }
 }
 
-TEST_CASE("an own certificate is shown where it is asked for; files that do not fit are named, at a start and a reload") {
+TEST_CASE(
+    "an own certificate is shown where it is asked for; files that do not fit are named, at a start and a "
+    "reload") {
   const Files files;
   Wanted wanted;
   wanted.name = "this router";
   const auto client = issue(wanted, &files.root);
-  const auto certificate = files.write("own.pem", client.certificate_pem()), key = files.write("own.key", client.key_pem());
+  const auto certificate = files.write("own.pem", client.certificate_pem()),
+             key = files.write("own.key", client.key_pem());
   const auto mutual = "certificate: \"" + certificate + "\" key: \"" + key + "\"";
   TlsServer server(issue(Wanted{}, &files.root), {.client_trust = files.trust});
   {
@@ -204,11 +213,13 @@
       return e.program->log(expected);
     };
     files.write("own.key", next.key_pem());
-    CHECK(reload("event=configuration_kept").find("the key does not match the certificate") != std::string::npos);
+    CHECK(reload("event=configuration_kept").find("the key does not match the certificate") !=
+          std::string::npos);
     files.write("own.pem", next.certificate_pem());
     reload("event=tls_taken pool=p");
     files.write("own.key", next.key_pem(), 0644);
-    CHECK(reload("event=configuration_kept").find("others than its owner may use this key") != std::string::npos);
+    CHECK(reload("event=configuration_kept").find("others than its owner may use this key") !=
+          std::string::npos);
     files.write("own.key", next.key_pem());
     server.cut_all();
     CHECK(served(e, 31));
@@ -228,7 +239,8 @@
     CHECK(check.wait() == 1);
     return said;
   };
-  CHECK(starts("trust: \"" + files.write("none.pem", "nothing") + "\"").find("it holds no certificate") != std::string::npos);
+  CHECK(starts("trust: \"" + files.write("none.pem", "nothing") + "\"").find("it holds no certificate") !=
+        std::string::npos);
   CHECK(starts("trust: \"/none.pem\"").find("cannot be read") != std::string::npos);
   wanted.to_days = -1;
   wanted.from_days = -3;
@@ -269,7 +281,8 @@
   const Enum e(tls_pool(server.address(), tls) + to_p);
   CHECK(served(e, 1));
   Process check({"config", "check", e.file->path()});
-  CHECK(check.rest().find("warning: pool.p.tls.verification: certificates are not verified") != std::string::npos);
+  CHECK(check.rest().find("warning: pool.p.tls.verification: certificates are not verified") !=
+        std::string::npos);
 }
 
 TEST_CASE("connections of more than a set age are moved over, and no look-up notices") {
@@ -311,14 +324,17 @@
 
 /// A configuration as the platform gives it, with one converter, which has just started.
 std::string platform_text(const Address& converter, int routers, int cold_ms, int seed = 1) {
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
   return R"({"name":"n0","listen":"127.0.0.1:0","seed":")" + std::to_string(seed) +
          R"(","known":{"offset":1,"batch":[{"offset":1,"topology":{"snapshot":true,"endpoints":[{"name":"s-00000001","address":")" +
-         converter.text() + R"(","zone":"z","type":"t","group":1,"status":"in_service","weight":1,"since_ms":)" +
+         converter.text() +
+         R"(","zone":"z","type":"t","group":1,"status":"in_service","weight":1,"since_ms":)" +
          std::to_string(now.count()) + R"(}]}}]},"settings":{"balancers":)" + std::to_string(routers) +
          R"(,"step_us":5000,"areas":["z"],"classes":[{"name":"voice","importance":1,"objective_us":1200000,"give_up_us":9000000}],
          "specifics":{"network_form":"meshed","home_no":0,"guard_us":300000},
-         "invariants":{"start_capacity":0.3,"cold_us":)" + std::to_string(cold_ms * 1000) +
+         "invariants":{"start_capacity":0.3,"cold_us":)" +
+         std::to_string(cold_ms * 1000) +
          R"(,"fall_multiple":4,"overload_for_us":3000000},"limits":{"try_limit":6,"cancelling":true},
          "stats":{"columns":["spare","total"]}}})";
 }
@@ -326,14 +342,16 @@
 TEST_CASE("the platform's converters are spoken to over TLS where the operator's file says so") {
   const Files files;
   TlsServer server(issue(Wanted{}, &files.root), converter());
-  const TempFile config(platform_text(server.address(), 1, 1)), site("converters { tls { " + trusting(files) + " } }\n");
+  const TempFile config(platform_text(server.address(), 1, 1)),
+      site("converters { tls { " + trusting(files) + " } }\n");
   Process program({"serve", "--config", config.path(), "--site", site.path()});
   const auto callers = program.listening("caller");
   auto caller = Socket::connect(callers);
   Message offer;
   offer.op = Op::offer;
   offer.call = "9b1f03aa5c7e2d41";
-  offer.fields = {{"class", "voice"}, {"left", "3000"}, {"key", "7f3a9c21e0b4d655"}, {"extras", "dest:1;width:1;via:-1"}};
+  offer.fields = {
+      {"class", "voice"}, {"left", "3000"}, {"key", "7f3a9c21e0b4d655"}, {"extras", "dest:1;width:1;via:-1"}};
   offer.text = "d\r\nof a call";
   caller.say(offer);
   const auto answer = caller.message();
@@ -343,7 +361,8 @@
   program.log("event=configuration_taken front=platform");
   site.write("converters { tls { trust: \"/none.pem\" } }\n");
   program.signal(SIGHUP);
-  CHECK(program.log("event=configuration_kept front=platform").find("/none.pem cannot be read") != std::string::npos);
+  CHECK(program.log("event=configuration_kept front=platform").find("/none.pem cannot be read") !=
+        std::string::npos);
   Process check({"config", "check", site.path()});
   CHECK(check.rest().find("converters.tls: /none.pem cannot be read") != std::string::npos);
 }
@@ -384,7 +403,8 @@
   const auto with = storm("handshakes { share: \"40%\" full_cost: \"10ms\" resumed_cost: \"1ms\" }\n");
   CHECK(with <= 10);
   // The same with an admission that admits all: they come at once.
-  const auto without = storm("handshakes { share: \"100%\" full_cost: \"0.01ms\" resumed_cost: \"0.01ms\" }\n");
+  const auto without =
+      storm("handshakes { share: \"100%\" full_cost: \"0.01ms\" resumed_cost: \"0.01ms\" }\n");
   CHECK(without > 20);
 }
 
