TLS set by a reload lists the converters known so far; one set-up for the TLS benchmarks

Need: a read of the change found that converters known before a reload first set TLS were not listed for the admission, which then answered each ask with the same moment: the loop would have asked again without end.

Change: one piece lists a converter, called at an update and when TLS is first set. The benchmarks' three copies of a context and a server's side became one each.

Measured: the cases of TLS towards converters and of 25 routers pass with sanitizers; no test yet turns TLS on by a reload.

--- a/bench/tls_bench.cpp
+++ b/bench/tls_bench.cpp
@@ -49,6 +49,19 @@
   }
 };
 
+std::unique_ptr<tls::Context> trusting(const TempFile& trust) {
+  tls::TlsConfig config;
+  config.trust = {trust.path()};
+  return std::make_unique<tls::Context>(config, now_ms() + 1e12);
+}
+
+std::shared_ptr<SSL_CTX> server_with(const Issued& own) {
+  const std::shared_ptr<SSL_CTX> out(SSL_CTX_new(TLS_server_method()), SSL_CTX_free);
+  SSL_CTX_use_certificate(out.get(), own.certificate.get());
+  SSL_CTX_use_PrivateKey(out.get(), own.key.get());
+  return out;
+}
+
 void handshakes(const char* kind, const KeyPointer& key, int version) {
   constexpr int rounds = 300;
   const auto root = authority();
@@ -56,12 +69,9 @@
   wanted.key = key;
   const auto own = issue(wanted, &root);
   const TempFile trust(root.certificate_pem());
-  tls::TlsConfig config;
-  config.trust = {trust.path()};
-  tls::Context context(config, now_ms() + 1e12);
-  const std::shared_ptr<SSL_CTX> server(SSL_CTX_new(TLS_server_method()), SSL_CTX_free);
-  SSL_CTX_use_certificate(server.get(), own.certificate.get());
-  SSL_CTX_use_PrivateKey(server.get(), own.key.get());
+  const auto context_holder = trusting(trust);
+  auto& context = *context_holder;
+  const auto server = server_with(own);
   SSL_CTX_set_max_proto_version(server.get(), version);
   SSL_CTX_set_session_id_context(server.get(), reinterpret_cast<const unsigned char*>("t"), 1);
   for (const bool resume : {false, true}) {
@@ -94,12 +104,9 @@
   const auto root = authority();
   const auto own = issue(Wanted{}, &root);
   const TempFile trust(root.certificate_pem());
-  tls::TlsConfig config;
-  config.trust = {trust.path()};
-  tls::Context context(config, now_ms() + 1e12);
-  const std::shared_ptr<SSL_CTX> server(SSL_CTX_new(TLS_server_method()), SSL_CTX_free);
-  SSL_CTX_use_certificate(server.get(), own.certificate.get());
-  SSL_CTX_use_PrivateKey(server.get(), own.key.get());
+  const auto context_holder = trusting(trust);
+  auto& context = *context_holder;
+  const auto server = server_with(own);
   std::vector<std::unique_ptr<tls::Context::Connection>> states;
   std::vector<std::shared_ptr<SSL>> open;
   const auto before = mallinfo2().uordblks;
@@ -123,12 +130,9 @@
   const auto root = authority(), other = authority("another");
   const auto own = issue(Wanted{}, &other);
   const TempFile trust(root.certificate_pem());
-  tls::TlsConfig config;
-  config.trust = {trust.path()};
-  tls::Context context(config, now_ms() + 1e12);
-  const std::shared_ptr<SSL_CTX> server(SSL_CTX_new(TLS_server_method()), SSL_CTX_free);
-  SSL_CTX_use_certificate(server.get(), own.certificate.get());
-  SSL_CTX_use_PrivateKey(server.get(), own.key.get());
+  const auto context_holder = trusting(trust);
+  auto& context = *context_holder;
+  const auto server = server_with(own);
   std::size_t early = 0;
   int refused = 0;
   for (int i = 0; i < count; ++i) {
@@ -153,7 +157,7 @@
   return ms(used.ru_utime) + ms(used.ru_stime);
 }
 
-/// Processor time of the real program for each look-up. `cut_every`: connections end after one look-up.
+/// Processor time of the real program for each look-up. `one_each`: connections end after one look-up.
 double look_ups(const char* kind, bool tls, bool one_each, double plain) {
   constexpr int count = 1500;
   const auto root = authority();
--- a/src/platform/converters.cpp
+++ b/src/platform/converters.cpp
@@ -89,11 +89,7 @@
     if (restarted && converter.entry.started) router_.exchange_lost(id, to_ms(*converter.entry.started));
     // The own exchange is sent nothing, and has no group to tell of.
     link.own = converter.entry.number == config_.settings.home;
-    if (context_ && !link.own) {
-      const auto& started = converter.entry.started;
-      admission_->listed(id, clock_.now(), started ? std::optional(to_ms(*started)) : std::nullopt,
-                         held_connections);
-    }
+    list_for_admission(link);
     numbers_.insert(converter.entry.number);
     if (converter.entry.state != ExchangeState::ready || link.own) continue;
     for (std::size_t i = 0; i < held_connections; ++i) {
@@ -133,6 +129,15 @@
   context_ = std::move(context);
   if (admission_) return;
   admission_ = std::make_unique<handshakes::Admission>(settings, config_.seed);
+  // Set by a reload: those known so far are not listed again.
+  for (const auto& [id, link] : links_) list_for_admission(link);
+}
+
+void Converters::list_for_admission(const Link& link) {
+  if (!context_ || link.own) return;
+  const auto& entry = link.converter.entry;
+  admission_->listed(entry.exchange, clock_.now(),
+                     entry.started ? std::optional(to_ms(*entry.started)) : std::nullopt, held_connections);
 }
 
 /// As the admission allows; no_handle when it must wait. What cannot wait with it is given back at once.
--- a/src/platform/converters.hpp
+++ b/src/platform/converters.hpp
@@ -92,6 +92,7 @@
   };
   void open(Link& link, std::size_t line);
   void open_later(Link& link, std::size_t line);
+  void list_for_admission(const Link& link);
   void open_at(Link& link, std::size_t line, double time);
   Handle open_secured(Link& link, std::size_t line);
   void write_set_up(Handle attempt, Handle connection);
