--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -49,8 +49,25 @@
     if (attempt.over_ms >= 0) return;
     over(attempt, "its end was written, cause " + std::to_string(cause));
     const auto fields = note.empty() ? "" : R"("note":")" + note + R"(","load":")" + load() + "\"";
-    send(attempt.serial, R"({"op":"end","call":")" + attempt.call + R"(","with":{)" + fields + R"(},"why":)" +
-                             std::to_string(cause) + "}\n");
+    const auto line = R"({"op":"end","call":")" + attempt.call + R"(","with":{)" + fields + R"(},"why":)" +
+                      std::to_string(cause) + "}\n";
+    // A release is sent on the next connection opened as well, unless the router has confirmed it.
+    if (attempt.accepted) unconfirmed_releases_[attempt.call] = line;
+    send(attempt.serial, line);
+  }
+  /// The connection of that attempt's set-up falls quiet in both directions, and passes everything on later.
+  void hold_connection_of(std::size_t attempt) {
+    for (const auto& each : connections_)
+      if (each->serial == attempts[attempt].serial) each->held = true;
+  }
+  void end_holds() {
+    for (const auto& each : std::vector(connections_)) {
+      if (!each->held) continue;
+      each->held = false;
+      for (const auto& line : std::exchange(each->held_input, {})) on_line(*each, line);
+      flush(*each);
+      if (each->held_end) on_end(each, "closed by the peer");
+    }
   }
   void end_cut() {
     cut = false;
@@ -81,6 +98,7 @@
     std::unique_ptr<Lines> lines;
     std::vector<std::pair<double, std::string>> on_path;  ///< when it leaves the path, and the line
     std::vector<std::string> held_input;
+    bool held = false, held_end = false;
   };
   void accept() {
     const int socket = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
@@ -95,21 +113,32 @@
         [this, weak](const std::string& line) {
           const auto self = weak.lock();
           if (!self) return;
-          if (cut) return self->held_input.push_back(line);
+          if (cut || self->held) return self->held_input.push_back(line);
           on_line(*self, line);
         },
         [this, weak](const std::string& why) {
           const auto self = weak.lock();
           if (!self) return;
-          record("exchange %d: connection %s", number, why.c_str());
-          for (auto& attempt : attempts) {
-            if (attempt.serial == self->serial && attempt.over_ms < 0 && !attempt.accepted)
-              over(attempt, "its connection ended");
+          if (self->held) {
+            self->held_end = true;
+          } else {
+            on_end(self, why);
           }
-          loop_.at(now_ms(), [this, self] { std::erase(connections_, self); });
         });
     connections_.push_back(connection);
     send_state(*connection);
+    for (const auto& [call, line] : std::exchange(unconfirmed_releases_, {})) {
+      record("exchange %d: release of %s sent again on a new connection", number, call.c_str());
+      write(*connection, line);
+    }
+  }
+  void on_end(const std::shared_ptr<Connection>& connection, const std::string& why) {
+    record("exchange %d: connection %s", number, why.c_str());
+    for (auto& attempt : attempts) {
+      if (attempt.serial == connection->serial && attempt.over_ms < 0 && !attempt.accepted)
+        over(attempt, "its connection ended");
+    }
+    loop_.at(now_ms(), [this, connection] { std::erase(connections_, connection); });
   }
   void over(Attempt& attempt, const std::string& why) {
     attempt.over_ms = now_ms();
@@ -130,6 +159,7 @@
           over(attempt, attempt.accepted ? "released by the router" : "given up by the router");
       return write(connection, R"({"op":"ended","call":")" + call + "\",\"with\":{}}\n");
     }
+    if (op == "ended") unconfirmed_releases_.erase(call);
     if (op == "test") {
       const auto fields = member(line, "why") == "1" ? R"("load":")" + load() + "\"" : std::string();
       return write(connection, R"({"op":"tested","call":")" + call + R"(","with":{)" + fields + "},\"why\":1}\n");
@@ -159,7 +189,7 @@
     flush(connection);
   }
   void flush(Connection& connection) {
-    if (cut) return;
+    if (cut || connection.held) return;
     std::string bytes;
     while (!connection.on_path.empty() && connection.on_path.front().first <= now_ms()) {
       bytes += connection.on_path.front().second;
@@ -171,6 +201,7 @@
   int listener_ = -1;
   std::uint16_t port_before_ = 0;
   std::uint64_t last_serial_ = 0;
+  std::map<std::string, std::string> unconfirmed_releases_;  ///< by call
   std::vector<std::shared_ptr<Connection>> connections_;
 };
 
