--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -258,7 +258,7 @@
   std::vector<int> sockets_;
 };
 
-/// The configuration of the router of exchange 0, with the figures that the interface page shows.
+/// The configuration of the router of exchange 0, with figures as a small site has them.
 inline std::string platform_config(std::uint16_t listen, std::uint16_t bus, int memory_mb, int sockets,
                                    const std::vector<std::unique_ptr<ConverterStandIn>>& converters) {
   std::string endpoints;
@@ -289,13 +289,12 @@
          R"("call_length_us":[10400000,12500000],"circuits_by_class":[1,1],"far_reports":"pull",)" +
          R"("guard_us":300000,"hints_route":true,"home_no":0,"network_form":"meshed","resend_us":400000,)" +
          R"("retry_hint":true},"stats":{"columns":["spare","total","cut_by","recent_ms"],"via":"pull"},)" +
-         R"("step_us":5000,"tenants":[{"name":"harbourside-accounts","fraction":0.52,"quota_per_s":19.0},)" +
-         R"({"name":"tui-legal","fraction":0.29,"quota_per_s":11.0}]}})";
+         R"("step_us":5000,"tenants":[{"name":"acme","fraction":1.0,"quota_per_s":37.0}]}})";
 }
 
 inline std::string offer_line(const std::string& call, int destination, int left_ms, const std::string& description) {
   return R"({"op":"offer","call":")" + call + R"(","with":{"class":"quick-pdf","left":")" + std::to_string(left_ms) +
-         R"(","tenant":"harbourside-accounts","key":"7f3a9c21e0b4)" + call.substr(12) + R"(","extras":"dest:)" +
+         R"(","tenant":"acme","key":"7f3a9c21e0b4)" + call.substr(12) + R"(","extras":"dest:)" +
          std::to_string(destination) + R"(;width:1;via:-1"},"desc":")" + description + "\"}\n";
 }
 inline std::string call_id(int value) {
--- a/review/standins/quiet.cpp
+++ b/review/standins/quiet.cpp
@@ -167,6 +167,7 @@
                   "; set-ups after the quiet time " + std::to_string(after) + ", served " +
                   std::to_string(served_after));
   require(over > 500, "too few calls stood");
-  finish(0, "held: all " + std::to_string(over) + " calls that are over were released in time; set-ups after the quiet time " +
+  finish(0, "held: all " + std::to_string(over) +
+                " calls that are over were released in time; set-ups after the quiet time " +
                 std::to_string(after) + ", served " + std::to_string(served_after));
 }
--- a/review/standins/reload.cpp
+++ b/review/standins/reload.cpp
@@ -140,7 +140,8 @@
   const double cpu_before_ms = cpu_ms();
   loop.run_until(now_ms() + 1000);
   const double used_ms = router_end.empty() ? cpu_ms() - cpu_before_ms : 0;
-  if (router_end.empty()) record("the router still runs; without look-ups it used %.0f ms of processor time in 1 s", used_ms);
+  if (router_end.empty())
+    record("the router still runs; without look-ups it used %.0f ms of processor time in 1 s", used_ms);
 
   int unanswered = 0, taken_unanswered = 0, late = 0;
   for (const auto& [id, look_up] : look_ups) {
--- a/review/standins/stall.cpp
+++ b/review/standins/stall.cpp
@@ -83,7 +83,8 @@
       }
     if (out || over_ms + release_limit_ms > now_ms()) continue;
     ++left_standing;
-    record("BROKEN: %s stood at %.0f, is over since %.0f and was never released to its caller", id.c_str(), at, over_ms);
+    record("BROKEN: %s stood at %.0f, is over since %.0f and was never released to its caller", id.c_str(), at,
+           over_ms);
   }
   record("calls %d, stood %zu, refused or failed %zu, released %zu; quiet connections %d", last, stood.size(),
          refused.size(), released.size(), stalls);
