Log: unsent bytes of a connection that ends

The log did not tell a peer that leaves its data unread from output that the program never tried to send.

Change: connection_ended has a field `unsent`, the output that waited in the program.

A peer that does not read would first have filled the socket's buffers.

--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -390,7 +390,8 @@
        {{"side", connection->side},
         {"peer", connection->peer},
         {"reason", reason_code},
-        {"after_ms", static_cast<long long>(clock_.now_ms() - connection->opened_at_ms)}});
+        {"after_ms", static_cast<long long>(clock_.now_ms() - connection->opened_at_ms)},
+        {"unsent", evbuffer_get_length(bufferevent_get_output(connection->stream))}});
   if (connection->tls_state != nullptr && connection->connected) {
     // Sends close_notify only for a regular end, when it can be sent at once. Marks the connection as shut
     // down in any case, because OpenSSL would otherwise make the session unusable for resumption.
