Fix: output of one turn of the event loop no longer counts as left unread

What callers saw: after a time in which no caller was connected, each connection on which a set-up arrived was closed as slow_reader, until a restart.

Cause: Connections::write() ended a connection when all of its unsent output passed the limit of one peer. Output is sent between the turns of the loop, so whatever the program wrote in one turn counted as left unread: all queued releases for a caller or a converter, waiting set-ups, long answers that arrive together.

Change: a connection above its limit ends when it stays above it for 2 s, and is not read from meanwhile, so that a peer that does not read cannot add to its output. The output of all connections together is limited to the quarter of the memory that was set aside for it. A release that no caller acknowledges counts as delivered only when its connection has no unsent output, because a slow reader is now noticed later. On a new connection reading is enabled before its handler runs, so that the handler's output can pause it.

--- a/src/config/platform_config.cpp
+++ b/src/config/platform_config.cpp
@@ -189,6 +189,7 @@
   config.max_open_requests = std::clamp<std::size_t>(quarter_bytes / max_line_bytes, 64, 20000);
   config.max_unsent_bytes =
       std::clamp<std::size_t>(quarter_bytes / config.max_sockets, 2 * max_line_bytes, std::size_t{1} << 20);
+  config.max_total_unsent_bytes = quarter_bytes;
   if (root.find("bus") != nullptr) config.bus = read_address(root, "bus");
 
   const auto settings = root.object("settings");
--- a/src/config/platform_config.hpp
+++ b/src/config/platform_config.hpp
@@ -43,10 +43,11 @@
   std::uint64_t seed = 0;
   std::size_t max_sockets = 1024;
   std::size_t max_memory_mb = 2048;
-  std::size_t max_open_requests = 0;  ///< at any time; derived from max_memory_mb
-  std::size_t max_unsent_bytes = 0;   ///< queued for one peer; derived from max_memory_mb
-  std::optional<Address> bus;         ///< the event bus; none: converters come from `known_converters` alone
-  std::uint64_t bus_offset = 0;       ///< event bus offset up to which `known_converters` is current
+  std::size_t max_open_requests = 0;       ///< at any time; derived from max_memory_mb
+  std::size_t max_unsent_bytes = 0;        ///< queued for one peer; derived from max_memory_mb
+  std::size_t max_total_unsent_bytes = 0;  ///< queued for all peers; derived from max_memory_mb
+  std::optional<Address> bus;    ///< the event bus; none: converters come from `known_converters` alone
+  std::uint64_t bus_offset = 0;  ///< event bus offset up to which `known_converters` is current
   std::vector<Converter> known_converters;
   maddershed::Settings settings;
   std::string settings_text;                           ///< as read, to detect changes at a reload
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -72,6 +72,7 @@
     timers_.run_due(clock_.now_ms());
   }
   event_free(wake_timer);
+  stopping_ = false;
 }
 
 Handle Connections::add_connection(bufferevent* stream, Connection connection) {
@@ -256,8 +257,8 @@
     table_.find(handle)->timeout = timers_.schedule(
         clock_.now_ms() + timeout_ms, [this, handle] { end_connection(handle, reason::silent); });
   }
+  bufferevent_enable(stream, EV_READ | EV_WRITE);
   listener.handler->on_connected(handle);
-  if (has(handle)) bufferevent_enable(stream, EV_READ | EV_WRITE);
 }
 
 /// Closes the connection of this listener that has been idle longest, those without any message first. False
@@ -311,7 +312,7 @@
                                 const MessageCallback& on_message) {
   std::string message;
   // The callback may end the connection, which frees its input buffer.
-  for (auto* entry = table_.find(connection); entry != nullptr && !entry->finishing;
+  for (auto* entry = table_.find(connection); entry != nullptr && !entry->finishing && !entry->congested;
        entry = table_.find(connection)) {
     const auto status = next_message(message);
     if (status == FrameStatus::incomplete) return;
@@ -344,15 +345,38 @@
   auto* connection = table_.find(handle);
   if (connection == nullptr || connection->finishing) return false;
   evbuffer* out = bufferevent_get_output(connection->stream);
-  // Guards against a peer that does not read: the output buffered for it must stay bounded.
-  if (evbuffer_get_length(out) + bytes.size() > max_unsent_bytes_) {
+  const bool exceeds_limit = evbuffer_get_length(out) + bytes.size() > output_limits_.per_connection;
+  if (exceeds_limit && unsent_bytes() + bytes.size() > output_limits_.total) {
     end_connection(handle, reason::slow_reader);
     return false;
   }
   evbuffer_add(out, bytes.data(), bytes.size());
+  if (exceeds_limit && !connection->congested) begin_congestion(handle, *connection);
   return true;
 }
 
+/// Pauses reading, so that a peer that does not read cannot make the program queue more output by what it
+/// sends. Ends the connection unless its output soon falls below the limit.
+void Connections::begin_congestion(Handle handle, Connection& connection) {
+  connection.congested = true;
+  bufferevent_disable(connection.stream, EV_READ);
+  bufferevent_setwatermark(connection.stream, EV_WRITE, output_limits_.per_connection, 0);
+  connection.congestion_timeout = timers_.schedule(clock_.now_ms() + congestion_timeout_ms, [this, handle] {
+    end_connection(handle, reason::slow_reader);
+  });
+}
+
+void Connections::end_congestion(Handle handle, Connection& connection) {
+  connection.congested = false;
+  timers_.cancel(connection.congestion_timeout);
+  bufferevent_setwatermark(connection.stream, EV_WRITE, 0, 0);
+  if (connection.finishing) return;
+  bufferevent_enable(connection.stream, EV_READ);
+  // Messages that arrived before the pause are still in the input buffer.
+  evbuffer* in = bufferevent_get_input(connection.stream);
+  if (evbuffer_get_length(in) > 0) connection.handler->on_input(handle, in);
+}
+
 void Connections::close(Handle handle, const char* reason_code) { end_connection(handle, reason_code); }
 
 void Connections::finish(Handle handle) {
@@ -374,6 +398,11 @@
   return sum;
 }
 
+std::size_t Connections::unsent_bytes(Handle handle) {
+  const auto* connection = table_.find(handle);
+  return connection == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(connection->stream));
+}
+
 Address Connections::peer(Handle handle) {
   const auto* connection = table_.find(handle);
   return connection == nullptr ? Address{} : connection->address;
@@ -384,6 +413,7 @@
   auto* connection = table_.find(handle);
   if (connection == nullptr) return;
   timers_.cancel(connection->timeout);
+  timers_.cancel(connection->congestion_timeout);
   if (connection->listener != nullptr) --connection->listener->open_connections;
   auto* handler = connection->handler;
   log_(LogLevel::info, "connection_ended",
@@ -407,16 +437,23 @@
 
 void Connections::read_callback(bufferevent* stream, void* context) {
   const auto [owner, handle] = *static_cast<CallbackContext*>(context);
-  if (const auto* connection = owner->table_.find(handle); connection != nullptr && !connection->finishing) {
-    connection->handler->on_input(handle, bufferevent_get_input(stream));
-  }
+  const auto* connection = owner->table_.find(handle);
+  if (connection == nullptr || connection->finishing || connection->congested) return;
+  connection->handler->on_input(handle, bufferevent_get_input(stream));
 }
 
 void Connections::write_callback(bufferevent*, void* context) {
   const auto [owner, handle] = *static_cast<CallbackContext*>(context);
-  if (const auto* connection = owner->table_.find(handle); connection != nullptr && connection->finishing) {
-    owner->end_connection(handle, reason::finished);
-  }
+  owner->on_output_sent(handle);
+}
+
+/// Output was sent. Called when all of it was; while the connection is congested, when its limit holds again.
+void Connections::on_output_sent(Handle handle) {
+  auto* connection = table_.find(handle);
+  if (connection == nullptr) return;
+  const auto unsent = unsent_bytes(handle);
+  if (connection->finishing && unsent == 0) return end_connection(handle, reason::finished);
+  if (connection->congested && unsent <= output_limits_.per_connection) end_congestion(handle, *connection);
 }
 
 void Connections::event_callback(bufferevent*, short events, void* context) {
--- a/src/net/connections.hpp
+++ b/src/net/connections.hpp
@@ -58,6 +58,9 @@
   virtual void on_ended(Handle connection, const char* reason_code) = 0;
 };
 
+/// How long a connection may hold more unsent output than its limit before its peer counts as a slow reader.
+inline constexpr double congestion_timeout_ms = 2000;
+
 /// Opens, accepts, reads, writes and closes stream connections, and runs the event loop. Runs on one thread.
 class Connections {
  public:
@@ -66,7 +69,7 @@
   Connections(const Connections&) = delete;
   Connections& operator=(const Connections&) = delete;
 
-  /// Runs the event loop until stop(), with due timers between the events.
+  /// Runs the event loop until stop(), with due timers between the events. May be called again after that.
   void run();
   void stop() { stopping_ = true; }
   [[nodiscard]] event_base* base() const { return base_.get(); }
@@ -102,8 +105,16 @@
                     std::size_t max_connections);
   /// Replaces the limits of the listener at this address. Connections that are open already stay open.
   void set_limits(const Address& at, const Limits& limits);
-  /// Limits the output that waits for one peer; a connection that would exceed it is closed.
-  void set_max_unsent_bytes(std::size_t bytes) { max_unsent_bytes_ = bytes; }
+  /// Limits the output that waits for peers, in bytes.
+  struct OutputLimits {
+    /// For one connection. Output queued in one turn of the event loop may exceed it, because the peer had no
+    /// chance to read it yet; a connection that stays above it for congestion_timeout_ms ends.
+    std::size_t per_connection = std::size_t{1} << 20;
+    /// For all connections: output that exceeds it ends its connection at once, unless that connection stays
+    /// within its own limit.
+    std::size_t total = std::size_t{64} << 20;
+  };
+  void set_output_limits(const OutputLimits& limits) { output_limits_ = limits; }
   /// Counts an open request: until end_request() the connection is not closed as idle. False if it has
   /// reached its limit of open requests.
   bool begin_request(Handle connection);
@@ -115,8 +126,9 @@
   /// The same for messages that follow a big-endian length of `width` bytes.
   void read_length_prefixed(Handle connection, evbuffer* in, std::size_t width, std::size_t max_bytes,
                             const MessageCallback& on_message);
-  /// Queues output. False if the connection has ended or is finishing, or ends now because the peer does not
-  /// read.
+  /// Queues output. False if the connection has ended or is finishing, or ends now because the output of all
+  /// connections would exceed its limit. While more than its limit waits on a connection, nothing is read
+  /// from it.
   bool write(Handle connection, std::string_view bytes);
   /// Closes the connection at once, without waiting for unsent output.
   void close(Handle connection, const char* reason_code);
@@ -127,6 +139,8 @@
   [[nodiscard]] Address peer(Handle connection);
   /// Output of all established connections that has not been sent yet.
   [[nodiscard]] std::size_t unsent_bytes();
+  /// Output of one connection that has not been sent yet; 0 if the handle is stale.
+  [[nodiscard]] std::size_t unsent_bytes(Handle connection);
   /// Number of connections, including those not yet established.
   [[nodiscard]] std::size_t size() const { return table_.size(); }
 
@@ -153,8 +167,10 @@
     bool message_received = false;
     bool connected = false;
     bool finishing = false;
+    bool congested = false;  ///< more output waits than the limit of one connection; reading is paused
     Listener* listener = nullptr;
     TimerQueue::Key timeout;
+    TimerQueue::Key congestion_timeout;
     std::shared_ptr<tls::Context> tls_context;  ///< keeps the SSL_CTX alive as long as the SSL
     std::shared_ptr<tls::Context::ConnectionState> tls_state;
   };
@@ -173,6 +189,9 @@
   bool close_idlest(Listener& listener);
   void on_accepted(Listener& listener, evutil_socket_t socket, sockaddr* from);
   void end_connection(Handle connection, const char* reason_code);
+  void begin_congestion(Handle handle, Connection& connection);
+  void end_congestion(Handle handle, Connection& connection);
+  void on_output_sent(Handle handle);
   void on_event(Handle connection, short events);
   static void read_callback(bufferevent* stream, void* context);
   static void write_callback(bufferevent* stream, void* context);
@@ -185,7 +204,7 @@
   SlotTable<Connection> table_;
   std::map<Handle, std::unique_ptr<CallbackContext>> callback_contexts_;
   std::vector<std::unique_ptr<Listener>> listeners_;
-  std::size_t max_unsent_bytes_ = std::size_t{1} << 20;
+  OutputLimits output_limits_;
   bool stopping_ = false;
 };
 
--- a/src/platform/caller_frontend.cpp
+++ b/src/platform/caller_frontend.cpp
@@ -345,18 +345,31 @@
     auto& unacknowledged = unacknowledged_releases_[call_id];
     timers_.cancel(unacknowledged.retry_timer);
     unacknowledged = {connection, std::move(line), transmissions + 1, {}};
-    unacknowledged.retry_timer = timers_.schedule(clock_.now_ms() + release_ack_timeout_ms, [this, call_id] {
-      auto release = unacknowledged_releases_[call_id];
-      unacknowledged_releases_.erase(call_id);
-      if (callers_acknowledge_)
-        send_release(call_id, std::move(release.line), no_handle, release.connection, release.transmissions);
-    });
+    schedule_release_check(call_id);
     return;
   }
   if (queued_releases_.size() >= max_queued_releases) queued_releases_.pop_front();
   queued_releases_.emplace_back(call_id, std::move(line));
 }
 
+void CallerFrontend::schedule_release_check(const std::string& call_id) {
+  unacknowledged_releases_[call_id].retry_timer =
+      timers_.schedule(clock_.now_ms() + release_ack_timeout_ms, [this, call_id] { check_release(call_id); });
+}
+
+/// Sends a release that was not acknowledged on another connection. Where callers don't acknowledge releases,
+/// it counts as delivered once its connection has no unsent output.
+void CallerFrontend::check_release(const std::string& call_id) {
+  auto& release = unacknowledged_releases_[call_id];
+  if (!callers_acknowledge_ && net_.unsent_bytes(release.connection) > 0)
+    return schedule_release_check(call_id);
+  auto unacknowledged = std::move(release);
+  unacknowledged_releases_.erase(call_id);
+  if (!callers_acknowledge_) return;
+  send_release(call_id, std::move(unacknowledged.line), no_handle, unacknowledged.connection,
+               unacknowledged.transmissions);
+}
+
 void CallerFrontend::release_acknowledged(const std::string& call_id) {
   const auto it = unacknowledged_releases_.find(call_id);
   if (it == unacknowledged_releases_.end()) return;
--- a/src/platform/caller_frontend.hpp
+++ b/src/platform/caller_frontend.hpp
@@ -97,6 +97,8 @@
   void send_release(const std::string& call_id, std::string line, Handle preferred, Handle avoided,
                     int transmissions);
   void release_acknowledged(const std::string& call_id);
+  void schedule_release_check(const std::string& call_id);
+  void check_release(const std::string& call_id);
   void erase_request(Handle request);
   void raise_release_rank(Handle connection, ConnectionState::ReleaseRank release_rank);
   [[nodiscard]] std::optional<Request> parse_offer(const Message& message) const;
--- a/src/platform/platform_service.cpp
+++ b/src/platform/platform_service.cpp
@@ -24,7 +24,7 @@
       converter_backend_(program.clock(), program.timers(), program.net(), router_, config_),
       caller_frontend_(program.clock(), program.timers(), program.net(), router_, config_) {
   load_tls();
-  program.net().set_max_unsent_bytes(config_.max_unsent_bytes);
+  apply_output_limits();
   router_.set_backend(converter_backend_);
   router_.set_log(program.log_sink());
   converter_backend_.set_unknown_call_end_handler([this](const std::string& call_id, int cause_code) {
@@ -40,6 +40,11 @@
   });
 }
 
+void PlatformService::apply_output_limits() {
+  program_.net().set_output_limits(
+      {.per_connection = config_.max_unsent_bytes, .total = config_.max_total_unsent_bytes});
+}
+
 /// Throws InputError, and changes nothing, when the certificates cannot be used.
 void PlatformService::load_tls() {
   if (site_path_.empty()) return;
@@ -92,9 +97,10 @@
   config_.max_memory_mb = new_config.max_memory_mb;
   config_.max_open_requests = new_config.max_open_requests;
   config_.max_unsent_bytes = new_config.max_unsent_bytes;
+  config_.max_total_unsent_bytes = new_config.max_total_unsent_bytes;
   config_.tenant_names = new_config.tenant_names;
   config_.connect_timeout_ms = new_config.connect_timeout_ms;
-  program_.net().set_max_unsent_bytes(config_.max_unsent_bytes);
+  apply_output_limits();
   caller_frontend_.update_limits();
   if (!new_config.bus) return;
   config_.bus = new_config.bus;
--- a/src/platform/platform_service.hpp
+++ b/src/platform/platform_service.hpp
@@ -27,6 +27,7 @@
  private:
   void start_event_bus_client();
   void reload_config();
+  void apply_output_limits();
   void load_tls();
 
   Program& program_;
--- /dev/null
+++ b/tests/router/caller_frontend_test.cpp
@@ -0,0 +1,99 @@
+// Tests of the callers' frontend whose backend is played by the test.
+#include "platform/caller_frontend.hpp"
+
+#include "loop_fixture.hpp"
+
+namespace heathturn::test {
+namespace {
+
+using namespace maddershed;
+
+const std::string call_a = "9b1f03aa5c7e2d41";
+
+/// A frontend whose requests are all sent to one converter, which the test plays as the backend.
+struct CallerFrontendFixture : LoopFixture, Backend {
+  static constexpr Connections::OutputLimits tiny_limits = {.per_connection = 512, .total = 512};
+  static constexpr Connections::OutputLimits ample_limits = {};
+
+  PlatformConfig config = make_config();
+  std::vector<Event> events;
+  Router router{
+      clock, timers, 0, [this](Time, const Event& event, std::vector<Action>& actions) {
+        events.push_back(event);
+        if (const auto* offered = std::get_if<CallOffered>(&event))
+          actions.push_back(SendSetUp{offered->call, ExchangeId{1}, to_time(clock.now_ms() + 5000)});
+      }};
+  CallerFrontend frontend{clock, timers, net, router, config};
+  std::vector<Handle> sent, released;
+
+  CallerFrontendFixture() {
+    router.set_backend(*this);
+    router.directory_updated({DirectoryUpdate::Kind::snapshot, {{.exchange = {1}, .number = 1}}});
+    frontend.set_number_check([](ExchangeNumber) { return true; });
+    frontend.set_readiness_check([] { return true; });
+    config.listen =
+        net.listen({0x7f000001, 0}, frontend, "caller", {.max_connections = 16, .max_open_requests = 16});
+  }
+  static PlatformConfig make_config() {
+    PlatformConfig config;
+    config.max_open_requests = 16;
+    config.longest_give_up_ms = 9000;
+    config.class_indexes["voice"] = 0;
+    config.settings.classes.emplace_back().name = "voice";
+    return config;
+  }
+  [[nodiscard]] static std::string set_up(const std::string& call_id) {
+    Message message;
+    message.op = Op::offer;
+    message.call_id = call_id;
+    message.fields = {{"class", "voice"}, {"left", "3000"}, {"extras", "dest:1;width:1;via:-1"}};
+    message.description = "d";
+    return serialize_message(message);
+  }
+  void send_attempt(Handle attempt, ExchangeId, const Request&, double) override { sent.push_back(attempt); }
+  void abandon_attempt(Handle) override {}
+  void release_call(Handle attempt) override { released.push_back(attempt); }
+  void probe(ExchangeId) override {}
+};
+
+// Guards against ending a caller's connection because several converters answer at the same time.
+TEST_CASE("long answers that arrive in one turn all reach their caller") {
+  CallerFrontendFixture fixture;
+  fixture.net.set_output_limits({.per_connection = 2 * max_line_bytes, .total = 64 * max_line_bytes});
+  constexpr std::size_t calls = 10;
+  const auto caller = Socket::connect(fixture.config.listen);
+  for (std::size_t i = 0; i < calls; ++i)
+    caller.write(CallerFrontendFixture::set_up("000000000000" + std::to_string(1000 + i)));
+  fixture.run_until([&] { return fixture.sent.size() == calls; });
+  for (const auto attempt : fixture.sent) fixture.router.attempt_succeeded(attempt, std::string(15000, 'm'));
+  std::string input;
+  fixture.run_until([&] {
+    input += read_available(caller);
+    return static_cast<std::size_t>(std::count(input.begin(), input.end(), '\n')) >= calls ||
+           !fixture.end_reasons.empty();
+  });
+  CHECK(static_cast<std::size_t>(std::count(input.begin(), input.end(), '\n')) == calls);
+  CHECK(fixture.end_reasons.empty());
+}
+
+// Guards against losing a release on a connection that takes it and ends later as a slow reader.
+TEST_CASE("a release that waits behind unread output is sent again when its connection ends") {
+  CallerFrontendFixture fixture;
+  // More than the socket buffers of a loopback connection take.
+  constexpr std::size_t unread_bytes = std::size_t{16} << 20;
+  const auto stalled_caller = Socket::connect(fixture.config.listen);
+  stalled_caller.write(CallerFrontendFixture::set_up(call_a));
+  fixture.run_until([&] { return !fixture.sent.empty(); });
+  fixture.router.attempt_succeeded(fixture.sent[0], std::string(unread_bytes, 'm'));
+  const std::string released_call = "00000000000000b2";
+  fixture.frontend.end_unknown_call(released_call, cause::normal);
+  fixture.run_until([&] { return !fixture.end_reasons.empty(); });
+  CHECK(fixture.end_reasons == std::vector<std::string>{"slow_reader"});
+  const auto next_caller = Socket::connect(fixture.config.listen);
+  std::string input;
+  fixture.run_until([&] { return (input += read_available(next_caller)).ends_with('\n'); });
+  CHECK(parse_message(input.substr(0, input.size() - 1)).call_id == released_call);
+}
+
+}  // namespace
+}  // namespace heathturn::test
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the platform service: the program runs as a process, and the tests act as its callers, converters
 // and event bus.
+#include <set>
+
 #include "net/framing.hpp"
 #include "network_helpers.hpp"
 
@@ -304,6 +306,40 @@
   platform.establish_call(caller, call_b);
 }
 
+// Guards against ending every connection that carries a set-up because of the releases queued for it.
+TEST_CASE("releases queued while no caller is connected reach the next caller, whose set-up is served") {
+  PlatformFixture platform(true, 1024, 512, 64);
+  constexpr int queued_releases = 900;
+  auto& converter = platform.converter_connections[0];
+  std::string ends;
+  std::set<std::string> unreleased;
+  for (int i = 0; i < queued_releases; ++i) {
+    const auto call_id = "000000000000" + std::to_string(1000 + i);
+    ends += serialize_message(PlatformFixture::make_message(Op::end, call_id, 16));
+    unreleased.insert(call_id);
+  }
+  converter.write(ends);
+  // The reply to an answer that nobody waits for shows that all before it has been processed.
+  converter.send_message(PlatformFixture::make_message(Op::accept, call_b));
+  CHECK(converter.read_message().call_id == call_b);
+
+  auto caller = Socket::connect(platform.caller_address);
+  caller.send_message(PlatformFixture::make_offer(call_a));
+  CHECK(converter.read_message().call_id == call_a);
+  converter.send_message(PlatformFixture::make_message(Op::accept, call_a));
+  bool served = false;
+  while (!served || !unreleased.empty()) {
+    const auto message = caller.read_message();
+    if (message.op == Op::accept) {
+      served = message.call_id == call_a;
+    } else {
+      unreleased.erase(message.call_id);
+    }
+  }
+  converter.send_message(PlatformFixture::make_message(Op::end, call_a, 16));
+  CHECK(caller.read_message().call_id == call_a);
+}
+
 TEST_CASE("when the descriptors run out, the program accepts again once some are free") {
   PlatformFixture platform(false, 24);
   std::vector<Socket> idle_connections;
--- a/tests/router/tls_test.cpp
+++ b/tests/router/tls_test.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <filesystem>
 
+#include "loop_fixture.hpp"
 #include "tls_fixture.hpp"
 
 namespace heathturn::test {
@@ -393,6 +394,44 @@
   CHECK(check.read_remaining_output().find("converters.tls: /none.pem cannot be read") != std::string::npos);
 }
 
+/// Writes much more than its limit in the turn in which its connection opens.
+struct BurstClient : LoopFixture, ConnectionHandler {
+  static constexpr std::size_t max_unsent_bytes = std::size_t{32} << 10;
+  static constexpr std::size_t burst_bytes = std::size_t{8} << 20;
+  void on_connected(Handle connection) override {
+    for (std::size_t written = 0; written < burst_bytes; written += max_unsent_bytes / 2)
+      net.write(connection, std::string(max_unsent_bytes / 2, 'x'));
+  }
+  void on_input(Handle, evbuffer*) override {}
+  void on_ended(Handle, const char*) override {}
+};
+
+// Guards against ending a TLS connection for output that its peer had no turn of the event loop to read.
+TEST_CASE("a TLS peer that reads gets all that was written to it in one turn, however much it is") {
+  const AuthorityFiles files;
+  std::atomic<std::size_t> received_bytes{0};
+  TlsServer::Behaviour behaviour;
+  behaviour.respond = [&received_bytes](std::string& input) {
+    received_bytes += input.size();
+    input.clear();
+    return std::string();
+  };
+  TlsServer server(issue_certificate(CertificateSpec{}, &files.root), behaviour);
+  BurstClient client;
+  client.net.set_output_limits({.per_connection = BurstClient::max_unsent_bytes});
+  tls::TlsConfig config;
+  config.verify = false;
+  const auto context = std::make_shared<tls::Context>(config, client.clock.now_ms());
+  bool session_offered = false;
+  const auto connection = client.net.connect(server.address(), client, "converter", wait_timeout_ms,
+                                             {context, 1, "a converter"}, session_offered);
+  client.run_until([&] { return received_bytes == BurstClient::burst_bytes || !client.end_reasons.empty(); });
+  client.run_for(congestion_timeout_ms + 100);
+  CHECK(received_bytes == BurstClient::burst_bytes);
+  CHECK(client.end_reasons.empty());
+  client.net.close(connection, reason::finished);
+}
+
 /// Has 25 routers hold 50 connections to a converter that ends them all at once and can resume no session.
 /// Returns the largest number of full handshakes within any 250 ms after that.
 std::size_t max_full_handshakes_after_restart(const std::string& handshakes) {
