Fix: a set-up whose connection a write has ended is not sent to a converter

What callers saw: a set-up that was sent again on a new connection, after the first one had been closed, was refused with cause 47.

Cause: a set-up makes its connection eligible for queued releases, and writing them can end it. CallerFrontend went on with the set-up, because Connections::begin_request() returned true for a connection that has ended. An attempt went out for nobody, and the id of the call stayed in use.

Change: begin_request() returns false for a connection that has ended; both frontends then answer with a refusal, which is not sent anywhere.

The new test "a set-up whose connection is ended by a write is not offered, and may be sent again" failed before (offered 1, one attempt sent) and passes now.

--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -293,7 +293,7 @@
 
 bool Connections::begin_request(Handle handle) {
   auto* connection = table_.find(handle);
-  if (connection == nullptr) return true;
+  if (connection == nullptr) return false;
   const auto max_open_requests =
       connection->listener == nullptr ? 0 : connection->listener->limits.max_open_requests;
   if (max_open_requests != 0 && connection->open_requests >= max_open_requests) return false;
--- a/src/net/connections.hpp
+++ b/src/net/connections.hpp
@@ -115,8 +115,8 @@
     std::size_t total = std::size_t{64} << 20;
   };
   void set_output_limits(const OutputLimits& limits) { output_limits_ = limits; }
-  /// Counts an open request: until end_request() the connection is not closed as idle. False if it has
-  /// reached its limit of open requests.
+  /// Counts an open request: until end_request() the connection is not closed as idle. False if the
+  /// connection has ended, so that nobody would get the answer, or has reached its limit of open requests.
   bool begin_request(Handle connection);
   void end_request(Handle connection);
   using MessageCallback = std::function<void(const std::string&)>;
--- a/tests/router/caller_frontend_test.cpp
+++ b/tests/router/caller_frontend_test.cpp
@@ -95,5 +95,25 @@
   CHECK(parse_message(input.substr(0, input.size() - 1)).call_id == released_call);
 }
 
+// Guards against sending a set-up to a converter for a connection that the queued releases have just ended.
+TEST_CASE("a set-up whose connection is ended by a write is not offered, and may be sent again") {
+  CallerFrontendFixture fixture;
+  for (int i = 0; i < 20; ++i)
+    fixture.frontend.end_unknown_call("000000000000" + std::to_string(1000 + i), cause::normal);
+  fixture.net.set_output_limits(CallerFrontendFixture::tiny_limits);
+  const auto caller = Socket::connect(fixture.config.listen);
+  caller.write(CallerFrontendFixture::set_up(call_a));
+  fixture.run_until([&] { return !fixture.end_reasons.empty(); });
+  CHECK(fixture.end_reasons == std::vector<std::string>{"slow_reader"});
+  CHECK(fixture.router.counts().offered == 0);
+  CHECK(fixture.sent.empty());
+
+  fixture.net.set_output_limits(CallerFrontendFixture::ample_limits);
+  const auto next_caller = Socket::connect(fixture.config.listen);
+  next_caller.write(CallerFrontendFixture::set_up(call_a));
+  fixture.run_until([&] { return fixture.router.counts().offered == 1; });
+  CHECK(fixture.sent.size() == 1);
+}
+
 }  // namespace
 }  // namespace heathturn::test
