Fix: a call whose answer cannot be written to its caller is released

What callers saw: nothing. A write of the answer that ended the connection left the call standing at its converter, although its caller was never told of it and so would never release it.

Cause: CallerFrontend::on_request_served() marked the call as established before it wrote the answer and ignored the result of the write, so neither on_ended() nor the router gave the call up.

Change: Frontend::on_request_served() returns whether the answer could be sent. If not, the router releases the call after the module has got its CallStands event, and counts the request as abandoned in place of served. A look-up of the ENUM service leaves nothing standing and always returns true.

Evidence: found by reading. The new test "a call whose answer cannot be written to its caller is released at the converter" failed before (nothing released, one call established) and passes now.

--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -268,15 +268,17 @@
   state->answered = true;
   state->established = true;
   --pending_count_;
-  ++counts_.served;
   ++established_at_[attempt->exchange];
   timers_.cancel(state->answer_timer);
   const CallStands event{CallId{handle}, attempt->index, attempt->exchange,
                          to_duration(clock_.now_ms() - attempt->sent_at_ms)};
-  state->frontend->on_request_served(handle, answer);
+  const bool answer_sent = state->frontend->on_request_served(handle, answer);
+  ++(answer_sent ? counts_.served : counts_.abandoned);
   // Frees the memory of the body, which is not needed again; the call may last long.
   if (state = requests_.find(handle); state != nullptr) std::string().swap(state->request.body);
   process_event(event);
+  // Nobody would release a call that its caller was never told of.
+  if (!answer_sent) caller_released(handle);
 }
 
 void Router::attempt_ended(Handle id, const AttemptOutcome& outcome) { finish_attempt(id, outcome); }
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -48,7 +48,8 @@
 class Frontend {
  public:
   virtual ~Frontend() = default;
-  virtual void on_request_served(Handle request, const std::string& answer) = 0;
+  /// False if the answer cannot be sent to the caller: the call is then released, without on_call_ended().
+  virtual bool on_request_served(Handle request, const std::string& answer) = 0;
   /// `wait_ms`: how long the caller should wait before it retries; 0: no advice.
   virtual void on_request_refused(Handle request, double wait_ms) = 0;
   virtual void on_request_failed(Handle request) = 0;
--- a/src/enum/enum_frontend.cpp
+++ b/src/enum/enum_frontend.cpp
@@ -199,10 +199,11 @@
   return pending;
 }
 
-void EnumFrontend::on_request_served(Handle request, const std::string& bytes) {
+/// Always true: nothing stands at the server after a look-up, so there is nothing to release.
+bool EnumFrontend::on_request_served(Handle request, const std::string& bytes) {
   const auto pending = take_pending(request);
   auto answer = dns::parse_message(bytes);
-  if (!pending || !answer) return;
+  if (!pending || !answer) return true;
   keep_relevant_answers(*answer);
   // Of the authority section only the records of a negative answer are passed on: SOA, RRSIG (46), NSEC (47)
   // and NSEC3 (50).
@@ -210,6 +211,7 @@
     return record.type != dns::type::soa && record.type != 46 && record.type != 47 && record.type != 50;
   });
   send_answer(pending->client, pending->query, std::move(*answer));
+  return true;
 }
 
 void EnumFrontend::on_request_refused(Handle request, double) {
--- a/src/enum/enum_frontend.hpp
+++ b/src/enum/enum_frontend.hpp
@@ -27,7 +27,7 @@
   /// Answers every later query with REFUSED.
   void refuse_new_requests() { refusing_new_requests_ = true; }
 
-  void on_request_served(Handle request, const std::string& answer) override;
+  bool on_request_served(Handle request, const std::string& answer) override;
   void on_request_refused(Handle request, double wait_ms) override;
   void on_request_failed(Handle request) override;
   void on_call_ended(Handle, CallEnd) override {}
--- a/src/platform/caller_frontend.cpp
+++ b/src/platform/caller_frontend.cpp
@@ -270,18 +270,24 @@
   requests_.erase(it);
 }
 
-void CallerFrontend::on_request_served(Handle request, const std::string& answer) {
+bool CallerFrontend::on_request_served(Handle request, const std::string& answer) {
   const auto it = requests_.find(request);
-  if (it == requests_.end()) return;
-  it->second.established = true;
-  ++established_count_;
-  net_.end_request(it->second.connection);
-  raise_release_rank(it->second.connection, ConnectionState::ReleaseRank::served);
+  if (it == requests_.end()) return false;
+  const auto connection = it->second.connection;
   Message message;
   message.op = Op::accept;
   message.call_id = it->second.call_id;
   message.description = answer;
-  net_.write(it->second.connection, serialize_message(message));
+  // A failed write may have ended the connection, and on_ended() the request.
+  if (!net_.write(connection, serialize_message(message))) {
+    erase_request(request);
+    return false;
+  }
+  it->second.established = true;
+  ++established_count_;
+  net_.end_request(connection);
+  raise_release_rank(connection, ConnectionState::ReleaseRank::served);
+  return true;
 }
 
 void CallerFrontend::on_request_refused(Handle request, double wait_ms) {
--- a/src/platform/caller_frontend.hpp
+++ b/src/platform/caller_frontend.hpp
@@ -59,7 +59,7 @@
     return requests_by_call_id_.contains(call_id) || ended_.contains(call_id);
   }
 
-  void on_request_served(Handle request, const std::string& answer) override;
+  bool on_request_served(Handle request, const std::string& answer) override;
   void on_request_refused(Handle request, double wait_ms) override;
   void on_request_failed(Handle request) override;
   void on_call_ended(Handle request, CallEnd end) override;
--- a/tests/router/caller_frontend_test.cpp
+++ b/tests/router/caller_frontend_test.cpp
@@ -115,5 +115,25 @@
   CHECK(fixture.sent.size() == 1);
 }
 
+// Guards against a call that stands at its converter although its caller was never told.
+TEST_CASE("a call whose answer cannot be written to its caller is released at the converter") {
+  CallerFrontendFixture fixture;
+  const auto caller = Socket::connect(fixture.config.listen);
+  caller.write(CallerFrontendFixture::set_up(call_a));
+  fixture.run_until([&] { return !fixture.sent.empty(); });
+  fixture.net.set_output_limits(CallerFrontendFixture::tiny_limits);
+  fixture.router.attempt_succeeded(fixture.sent[0], std::string(1000, 'm'));
+  CHECK(fixture.end_reasons == std::vector<std::string>{"slow_reader"});
+  CHECK(fixture.released == fixture.sent);
+  CHECK(fixture.router.established_count() == 0);
+  CHECK(fixture.router.pending_count() == 0);
+  CHECK(fixture.router.counts().served == 0);
+  CHECK(fixture.router.counts().abandoned == 1);
+  // The module hears of the call before it hears of its end.
+  REQUIRE(fixture.events.size() >= 2);
+  CHECK(std::holds_alternative<CallStands>(fixture.events[fixture.events.size() - 2]));
+  CHECK(std::holds_alternative<AttemptEnded>(fixture.events.back()));
+}
+
 }  // namespace
 }  // namespace heathturn::test
--- a/tests/router/converter_backend_test.cpp
+++ b/tests/router/converter_backend_test.cpp
@@ -56,7 +56,7 @@
       messages.push_back(parse_message(input.substr(0, end)));
     return messages;
   }
-  void on_request_served(Handle, const std::string&) override {}
+  bool on_request_served(Handle, const std::string&) override { return true; }
   void on_request_refused(Handle, double) override {}
   void on_request_failed(Handle) override {}
   void on_call_ended(Handle, CallEnd) override {}
--- a/tests/router/core_test.cpp
+++ b/tests/router/core_test.cpp
@@ -56,8 +56,9 @@
     next_actions = {std::move(action)};
     router.exchange_reported(ExchangeId{1}, {});
   }
-  void on_request_served(Handle, const std::string& answer) override {
+  bool on_request_served(Handle, const std::string& answer) override {
     notifications.push_back("served " + answer);
+    return true;
   }
   void on_request_refused(Handle, double wait_ms) override {
     notifications.push_back("refused " + std::to_string(static_cast<int>(wait_ms)));
