Fix: a set-up that a write did not take ends as never sent, not as reset

What callers saw: where a write ended a converter's connection, a later retry than needed, since a reset attempt holds the next one back for the release wait.

Cause: ConverterBackend::write_set_up() noted the connection of the attempt before it wrote. On the end of the connection the attempt counted as sent on it; the waiting set-ups after it were then written to the ended connection and counted as reset as well.

Change: the connection is noted after a successful write. A set-up that was not written ends as connect_failed.

Evidence: found by reading. The new test "set-ups that a write did not take count as never sent, and those before it as reset" failed before (10 reset, 0 connect_failed; 4 and 6 are right) and passes now.

--- a/src/platform/converter_backend.cpp
+++ b/src/platform/converter_backend.cpp
@@ -399,14 +399,16 @@
 }
 
 void ConverterBackend::write_set_up(Handle attempt, Handle connection) {
-  auto& attempt_state = attempts_[attempt];
-  attempt_state.connection = connection;
-  const auto line = std::move(attempt_state.serialized_offer);
-  if (net_.write(connection, line)) return;
-  // The failed write ended the connection, and on_ended() its set-ups; one that it did not find ends here.
+  const auto line = std::move(attempts_[attempt].serialized_offer);
+  if (net_.write(connection, line)) {
+    attempts_[attempt].connection = connection;
+    return;
+  }
+  // The connection has ended, and the converter has not got the set-up. The end of other attempts may have
+  // ended this one too.
   if (!attempts_.contains(attempt)) return;
   erase_attempt(attempt);
-  router_.attempt_ended(attempt, {.result = AttemptResult::reset});
+  router_.attempt_ended(attempt, {.result = AttemptResult::connect_failed});
 }
 
 void ConverterBackend::erase_attempt(Handle attempt) {
--- a/tests/router/converter_backend_test.cpp
+++ b/tests/router/converter_backend_test.cpp
@@ -85,5 +85,22 @@
   CHECK(fixture.results.empty());
 }
 
+// Guards against taking a set-up that was never written for one that the converter may have.
+TEST_CASE("set-ups that a write did not take count as never sent, and those before it as reset") {
+  constexpr std::size_t set_up_bytes = 15000, written_set_ups = 4, waiting_set_ups = 10;
+  // Room for four set-ups with their other fields, not for five.
+  ConverterBackendFixture fixture(
+      {.per_connection = max_unsent_bytes, .total = (written_set_ups + 1) * set_up_bytes});
+  for (std::size_t i = 0; i < waiting_set_ups; ++i)
+    fixture.offer("000000000000" + std::to_string(1000 + i), set_up_bytes);
+  fixture.run_until([&] { return fixture.results.size() >= waiting_set_ups; });
+  CHECK(fixture.end_reasons == std::vector<std::string>{"slow_reader"});
+  const auto count = [&](AttemptResult result) {
+    return std::count(fixture.results.begin(), fixture.results.end(), result);
+  };
+  CHECK(count(AttemptResult::reset) == written_set_ups);
+  CHECK(count(AttemptResult::connect_failed) == waiting_set_ups - written_set_ups);
+}
+
 }  // namespace
 }  // namespace heathturn::test
