--- a/tests/router/network_helpers.hpp
+++ b/tests/router/network_helpers.hpp
@@ -188,6 +188,10 @@
   explicit Process(const std::vector<std::string>& arguments, rlim_t max_descriptors = 1024) {
     int pipe_ends[2];
     REQUIRE(::pipe2(pipe_ends, O_CLOEXEC) == 0);
+    // Built before the fork: the child of a process with threads must not allocate memory.
+    std::vector<char*> argument_pointers = {const_cast<char*>(HEATHTURN_PROGRAM)};
+    for (const auto& argument : arguments) argument_pointers.push_back(const_cast<char*>(argument.c_str()));
+    argument_pointers.push_back(nullptr);
     pid_ = ::fork();
     if (pid_ == 0) {
       ::dup2(pipe_ends[1], 1);
@@ -195,9 +199,6 @@
       const rlimit limit{max_descriptors, max_descriptors};
       ::setrlimit(RLIMIT_NOFILE, &limit);
       ::unsetenv("PROXY_CONFIG");
-      std::vector<char*> argument_pointers = {const_cast<char*>(HEATHTURN_PROGRAM)};
-      for (const auto& argument : arguments) argument_pointers.push_back(const_cast<char*>(argument.c_str()));
-      argument_pointers.push_back(nullptr);
       ::execv(HEATHTURN_PROGRAM, argument_pointers.data());
       ::_exit(127);
     }
