--- a/src/platform/caller_frontend.cpp
+++ b/src/platform/caller_frontend.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <tuple>
 #include <utility>
 
 namespace heathturn {
@@ -12,14 +11,10 @@
 constexpr double ended_call_retention_ms = 60000;
 constexpr std::size_t max_ended_calls = 16384;
 constexpr double max_unknown_releases_per_second = 200;
-constexpr double quiet_period_ms = 50;
 constexpr double refused_retry_after_ms = 1000;    // while shutting down or over a limit
 constexpr double first_message_timeout_ms = 2000;  // silent callers must be disconnected within 3 s
 constexpr std::size_t max_requests_per_connection = 256;
-constexpr std::uint32_t max_invalid_offers = 16;   // per connection
-constexpr std::size_t max_queued_releases = 4096;  // the oldest is dropped beyond that
-constexpr double release_ack_timeout_ms = 250;     // a caller must learn of the end of its call within 1 s
-constexpr int max_release_transmissions = 3;       // per call, each on another connection if there is one
+constexpr std::uint32_t max_invalid_offers = 16;  // per connection
 constexpr double time_left_slack_ms = 1000;
 constexpr double max_circuits_per_call = 64;
 
@@ -45,7 +40,7 @@
 
 CallerFrontend::CallerFrontend(Clock& clock, TimerQueue& timers, Connections& net, Router& router,
                                const PlatformConfig& config)
-    : clock_(clock), timers_(timers), net_(net), router_(router), config_(config) {}
+    : clock_(clock), net_(net), router_(router), config_(config), releases_(clock, timers, net) {}
 
 void CallerFrontend::listen() { listener_ = net_.listen(config_.listen, *this, "caller", listener_limits()); }
 
@@ -57,27 +52,7 @@
 
 // ---- Connections ----------------------------------------------------------------------------------------
 
-/// A connection opened for a readiness test is closed by its peer right after the reply, and a release sent
-/// on it would be abandoned. Releases are therefore sent only on connections that carried a request or were
-/// quiet for a while after they were opened.
-void CallerFrontend::on_connected(Handle connection) {
-  connections_[connection] = {};
-  timers_.schedule(clock_.now_ms() + quiet_period_ms, [this, connection] {
-    const auto it = connections_.find(connection);
-    if (it != connections_.end() && it->second.last_message_sequence == 0)
-      raise_release_rank(connection, ConnectionState::ReleaseRank::quiet);
-  });
-}
-
-void CallerFrontend::raise_release_rank(Handle connection, ConnectionState::ReleaseRank release_rank) {
-  const auto it = connections_.find(connection);
-  if (it == connections_.end()) return;
-  const bool was_ineligible = it->second.release_rank == ConnectionState::ReleaseRank::ineligible;
-  it->second.release_rank = std::max(it->second.release_rank, release_rank);
-  if (!was_ineligible) return;
-  for (auto& [call_id, line] : std::exchange(queued_releases_, {}))
-    send_release(call_id, std::move(line), connection, no_handle, 0);
-}
+void CallerFrontend::on_connected(Handle connection) { releases_.connection_opened(connection); }
 
 void CallerFrontend::on_input(Handle connection, evbuffer* in) {
   net_.read_lines(connection, in, max_line_bytes, [this, connection](const std::string& line) {
@@ -86,7 +61,7 @@
 }
 
 void CallerFrontend::on_ended(Handle connection, const char*) {
-  connections_.erase(connection);
+  invalid_offers_.erase(connection);
   std::vector<Handle> abandoned;
   for (const auto& [request, offered] : requests_) {
     if (offered.connection == connection && !offered.established) abandoned.push_back(request);
@@ -95,20 +70,11 @@
     erase_request(request);
     router_.caller_left(request);
   }
-  // Releases that were not acknowledged on this connection are sent on another one.
-  std::vector<std::string> unacknowledged;
-  for (const auto& [call_id, release] : unacknowledged_releases_) {
-    if (release.connection == connection) unacknowledged.push_back(call_id);
-  }
-  for (const auto& call_id : unacknowledged) {
-    auto release = unacknowledged_releases_[call_id];
-    release_acknowledged(call_id);
-    send_release(call_id, std::move(release.line), no_handle, no_handle, release.transmissions);
-  }
+  releases_.connection_ended(connection);
 }
 
 void CallerFrontend::on_message(Handle connection, const Message& message) {
-  connections_[connection].last_message_sequence = ++message_sequence_;
+  releases_.message_received(connection);
   switch (message.op) {
     case Op::offer:
       return on_offer(connection, message);
@@ -123,8 +89,7 @@
       return;
     }
     case Op::ended:
-      callers_acknowledge_ = true;
-      return release_acknowledged(message.call_id);
+      return releases_.acknowledged(message.call_id);
     case Op::ringing:
       return;
     case Op::accept:
@@ -146,7 +111,7 @@
   if (!request) return refuse_invalid_offer(connection, message.call_id);
   if (!is_known_number_(request->destination))
     return send_refusal(connection, message.call_id, cause::error, 0);
-  raise_release_rank(connection, ConnectionState::ReleaseRank::requested);
+  releases_.raise_rank(connection, ReleaseSender::Rank::requested);
   if (refusing_new_requests_ || requests_.size() - established_count_ >= config_.max_open_requests ||
       !net_.begin_request(connection)) {
     ended_.add(message.call_id, clock_.now_ms());
@@ -214,8 +179,7 @@
 /// Refuses an invalid offer and ends the connection when it has sent too many of them.
 void CallerFrontend::refuse_invalid_offer(Handle connection, const std::string& call_id) {
   send_refusal(connection, call_id, cause::error, 0);
-  const auto it = connections_.find(connection);
-  if (it != connections_.end() && ++it->second.invalid_offers >= max_invalid_offers)
+  if (net_.has(connection) && ++invalid_offers_[connection] >= max_invalid_offers)
     throw ProtocolError{reason::malformed};
 }
 
@@ -229,7 +193,7 @@
     const auto offered = requests_[request];
     // An established call may be released on any connection, a pending set-up only on its own.
     if (!offered.established && offered.connection != connection) return;
-    raise_release_rank(connection, ConnectionState::ReleaseRank::requested);
+    releases_.raise_rank(connection, ReleaseSender::Rank::requested);
     erase_request(request);
     if (offered.established) {
       router_.caller_released(request);
@@ -286,7 +250,7 @@
   it->second.established = true;
   ++established_count_;
   net_.end_request(connection);
-  raise_release_rank(connection, ConnectionState::ReleaseRank::served);
+  releases_.raise_rank(connection, ReleaseSender::Rank::served);
   return true;
 }
 
@@ -310,83 +274,14 @@
   if (it == requests_.end()) return;
   const auto offered = it->second;
   erase_request(request);
-  release_call(offered.call_id, end == CallEnd::normal ? cause::normal : cause::temporary_failure,
-               offered.connection);
-}
-
-/// An established call is not bound to a connection: its release is sent on any, or queued for the next
-/// eligible one.
-void CallerFrontend::release_call(const std::string& call_id, int cause_code, Handle preferred) {
-  Message message;
-  message.call_id = call_id;
-  message.code = cause_code;
-  send_release(call_id, serialize_message(message), preferred, no_handle, 0);
-}
-
-/// Sends the release on the preferred connection if that is eligible, else on the one with the highest rank
-/// and, among equals, the most recent message, avoiding `avoided` if there is another. Where callers
-/// acknowledge releases, an unacknowledged one is retransmitted, so that it is not lost on a connection whose
-/// peer does not process it.
-void CallerFrontend::send_release(const std::string& call_id, std::string line, Handle preferred,
-                                  Handle avoided, int transmissions) {
-  while (true) {
-    auto best = connections_.find(preferred);
-    if (best == connections_.end() || best->second.release_rank == ConnectionState::ReleaseRank::ineligible) {
-      best = connections_.end();
-      const auto rank = [avoided](const auto& each) {
-        return std::tuple(each.first != avoided, each.second.release_rank, each.second.last_message_sequence);
-      };
-      for (auto it = connections_.begin(); it != connections_.end(); ++it) {
-        if (it->second.release_rank == ConnectionState::ReleaseRank::ineligible) continue;
-        if (best == connections_.end() || rank(*it) > rank(*best)) best = it;
-      }
-    }
-    if (best == connections_.end()) break;
-    const auto connection = best->first;
-    if (!net_.write(connection, line)) {
-      connections_.erase(connection);
-      continue;
-    }
-    if (transmissions + 1 >= max_release_transmissions) return;
-    auto& unacknowledged = unacknowledged_releases_[call_id];
-    timers_.cancel(unacknowledged.retry_timer);
-    unacknowledged = {connection, std::move(line), transmissions + 1, {}};
-    schedule_release_check(call_id);
-    return;
-  }
-  if (queued_releases_.size() >= max_queued_releases) queued_releases_.pop_front();
-  queued_releases_.emplace_back(call_id, std::move(line));
-}
-
-void CallerFrontend::schedule_release_check(const std::string& call_id) {
-  unacknowledged_releases_[call_id].retry_timer =
-      timers_.schedule(clock_.now_ms() + release_ack_timeout_ms, [this, call_id] { check_release(call_id); });
-}
-
-/// Sends a release that was not acknowledged on another connection. Where callers don't acknowledge releases,
-/// it counts as delivered once its connection has no unsent output.
-void CallerFrontend::check_release(const std::string& call_id) {
-  auto& release = unacknowledged_releases_[call_id];
-  if (!callers_acknowledge_ && net_.unsent_bytes(release.connection) > 0)
-    return schedule_release_check(call_id);
-  auto unacknowledged = std::move(release);
-  unacknowledged_releases_.erase(call_id);
-  if (!callers_acknowledge_) return;
-  send_release(call_id, std::move(unacknowledged.line), no_handle, unacknowledged.connection,
-               unacknowledged.transmissions);
-}
-
-void CallerFrontend::release_acknowledged(const std::string& call_id) {
-  const auto it = unacknowledged_releases_.find(call_id);
-  if (it == unacknowledged_releases_.end()) return;
-  timers_.cancel(it->second.retry_timer);
-  unacknowledged_releases_.erase(it);
+  releases_.send(offered.call_id, end == CallEnd::normal ? cause::normal : cause::temporary_failure,
+                 offered.connection);
 }
 
 void CallerFrontend::end_unknown_call(const std::string& call_id, int cause_code) {
   if (knows_call(call_id)) return;
   ended_.add(call_id, clock_.now_ms());
-  release_call(call_id, cause_code, no_handle);
+  releases_.send(call_id, cause_code, no_handle);
 }
 
 }  // namespace heathturn
--- a/src/platform/caller_frontend.hpp
+++ b/src/platform/caller_frontend.hpp
@@ -15,6 +15,7 @@
 #include "net/connections.hpp"
 #include "net/framing.hpp"
 #include "platform/message.hpp"
+#include "platform/release_sender.hpp"
 
 namespace heathturn {
 
@@ -74,39 +75,18 @@
     Handle connection = no_handle;
     bool established = false;
   };
-  struct ConnectionState {
-    /// How suitable the connection is for sending releases; higher values are preferred.
-    enum class ReleaseRank { ineligible, quiet, requested, served } release_rank = ReleaseRank::ineligible;
-    std::uint64_t last_message_sequence = 0;  ///< of its latest message; 0: none received
-    std::uint32_t invalid_offers = 0;
-  };
-  /// A release that its caller has not acknowledged yet.
-  struct UnacknowledgedRelease {
-    Handle connection = no_handle;
-    std::string line;
-    int transmissions = 0;
-    TimerQueue::Key retry_timer;
-  };
   void on_message(Handle connection, const Message& message);
   void on_offer(Handle connection, const Message& message);
   void on_end_message(Handle connection, const Message& message);
   [[nodiscard]] Connections::Limits listener_limits() const;
   void send_refusal(Handle connection, const std::string& call_id, int cause_code, double wait_ms);
   void reject_request(Handle request, int cause_code, double wait_ms);
-  void release_call(const std::string& call_id, int cause_code, Handle preferred);
-  void send_release(const std::string& call_id, std::string line, Handle preferred, Handle avoided,
-                    int transmissions);
-  void release_acknowledged(const std::string& call_id);
-  void schedule_release_check(const std::string& call_id);
-  void check_release(const std::string& call_id);
   void erase_request(Handle request);
-  void raise_release_rank(Handle connection, ConnectionState::ReleaseRank release_rank);
   [[nodiscard]] std::optional<Request> parse_offer(const Message& message) const;
   bool take_unknown_release_token();
   void refuse_invalid_offer(Handle connection, const std::string& call_id);
 
   Clock& clock_;
-  TimerQueue& timers_;
   Connections& net_;
   Router& router_;
   const PlatformConfig& config_;
@@ -116,15 +96,11 @@
   std::unordered_map<Handle, OfferedRequest> requests_;
   std::unordered_map<std::string, Handle> requests_by_call_id_;
   RecentlyEndedCalls ended_;
-  std::unordered_map<Handle, ConnectionState> connections_;
-  std::unordered_map<std::string, UnacknowledgedRelease> unacknowledged_releases_;  ///< by call id
-  std::deque<std::pair<std::string, std::string>>
-      queued_releases_;  ///< call id and line, until a connection is eligible
-  std::uint64_t message_sequence_ = 0;
-  std::size_t established_count_ = 0;  ///< number of established calls in requests_
-  double unknown_release_tokens_ = 0;  ///< token bucket for releases of unknown calls
+  ReleaseSender releases_;
+  std::unordered_map<Handle, std::uint32_t> invalid_offers_;  ///< by connection
+  std::size_t established_count_ = 0;                         ///< number of established calls in requests_
+  double unknown_release_tokens_ = 0;                         ///< token bucket for releases of unknown calls
   double tokens_refilled_at_ms_ = 0;
-  bool callers_acknowledge_ = false;  ///< at least one release has been acknowledged
   Address listener_;
   bool refusing_new_requests_ = false;
 };
