--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -416,12 +416,13 @@
   timers_.cancel(connection->congestion_timeout);
   if (connection->listener != nullptr) --connection->listener->open_connections;
   auto* handler = connection->handler;
-  log_(LogLevel::info, "connection_ended",
-       {{"side", connection->side},
-        {"peer", connection->peer},
-        {"reason", reason_code},
-        {"after_ms", static_cast<long long>(clock_.now_ms() - connection->opened_at_ms)},
-        {"unsent", evbuffer_get_length(bufferevent_get_output(connection->stream))}});
+  std::vector<LogField> fields = {
+      {"side", connection->side},
+      {"peer", connection->peer},
+      {"reason", reason_code},
+      {"after_ms", static_cast<long long>(clock_.now_ms() - connection->opened_at_ms)}};
+  if (const auto unsent = unsent_bytes(handle); unsent > 0) fields.push_back({"unsent", unsent});
+  log_(LogLevel::info, "connection_ended", fields);
   if (connection->tls_state != nullptr && connection->connected) {
     // Sends close_notify only for a regular end, when it can be sent at once. Marks the connection as shut
     // down in any case, because OpenSSL would otherwise make the session unusable for resumption.
