Fix: a release is no longer lost with the third connection that ends under it

Cause: the third transmission of a release was not remembered. Callers close several idle connections at once; the release moved from one to the next, and it was lost when the third ended.

Change: ReleaseSender remembers every transmission, and one on a connection that ended does not count. Where a connection stays open, a release is still transmitted at most three times.

--- a/src/platform/release_sender.cpp
+++ b/src/platform/release_sender.cpp
@@ -57,7 +57,7 @@
   for (const auto& call_id : call_ids) {
     auto release = unacknowledged_[call_id];
     erase_unacknowledged(call_id);
-    transmit(call_id, std::move(release.line), no_handle, no_handle, release.transmissions);
+    transmit(call_id, std::move(release.line), no_handle, no_handle, release.transmissions - 1);
   }
 }
 
@@ -104,7 +104,6 @@
 /// Where callers acknowledge releases, an unacknowledged one is transmitted again, so that it is not lost on
 /// a connection whose peer does not process it.
 void ReleaseSender::expect_acknowledgement(const std::string& call_id, UnacknowledgedRelease release) {
-  if (release.transmissions >= max_release_transmissions) return;
   erase_unacknowledged(call_id);
   unacknowledged_[call_id] = std::move(release);
   schedule_check(call_id);
@@ -122,7 +121,7 @@
   if (!callers_acknowledge_ && net_.unsent_bytes(release.connection) > 0) return schedule_check(call_id);
   auto unacknowledged = std::move(release);
   unacknowledged_.erase(call_id);
-  if (!callers_acknowledge_) return;
+  if (!callers_acknowledge_ || unacknowledged.transmissions >= max_release_transmissions) return;
   transmit(call_id, std::move(unacknowledged.line), no_handle, unacknowledged.connection,
            unacknowledged.transmissions);
 }
--- a/src/platform/release_sender.hpp
+++ b/src/platform/release_sender.hpp
@@ -36,7 +36,8 @@
   /// Makes a connection at least this suitable. If that makes it eligible, all queued releases are written to
   /// it, which may end it.
   void raise_rank(Handle connection, Rank rank);
-  /// Sends the releases that were not acknowledged on this connection on another one.
+  /// Sends the releases that were not acknowledged on this connection on another one. Their transmission on
+  /// it does not count.
   void connection_ended(Handle connection);
 
  private:
--- a/tests/router/caller_frontend_test.cpp
+++ b/tests/router/caller_frontend_test.cpp
@@ -95,6 +95,29 @@
   CHECK(parse_message(input.substr(0, input.size() - 1)).call_id == released_call);
 }
 
+// Guards against losing a release whose connections all end one after the other.
+TEST_CASE("a release whose connections all end before it is read reaches the next caller") {
+  CallerFrontendFixture fixture;
+  constexpr std::size_t ending_connections = 5;
+  std::vector<Socket> callers;
+  for (std::size_t i = 0; i < ending_connections; ++i) {
+    callers.push_back(Socket::connect(fixture.config.listen));
+    callers.back().write(CallerFrontendFixture::set_up("000000000000" + std::to_string(1000 + i)));
+    fixture.run_until([&] { return fixture.sent.size() == i + 1; });
+    fixture.router.attempt_succeeded(fixture.sent[i], "m");
+  }
+  for (const auto& caller : callers) fixture.run_until([&] { return !read_available(caller).empty(); });
+  // The release goes to the connection with the latest message, which ends first, and so on.
+  while (!callers.empty()) callers.pop_back();
+  const std::string released_call = "00000000000000b2";
+  fixture.frontend.end_unknown_call(released_call, cause::normal);
+  fixture.run_until([&] { return fixture.end_reasons.size() == ending_connections; });
+  const auto next_caller = Socket::connect(fixture.config.listen);
+  std::string input;
+  fixture.run_until([&] { return (input += read_available(next_caller)).ends_with('\n'); });
+  CHECK(parse_message(input.substr(0, input.size() - 1)).call_id == released_call);
+}
+
 // Guards against sending a set-up to a converter for a connection that the queued releases have just ended.
 TEST_CASE("a set-up whose connection is ended by a write is not offered, and may be sent again") {
   CallerFrontendFixture fixture;
