Log and totals: attempts, their outcomes, unmatched messages, reasons of refusals

Change: events `attempt_sent`, `attempt_ended` (result, the converter's cause code, how long), `message_unmatched`, `request_refused` and `request_failed` (why), `caller_left`, and `totals` every 10 s and at the end. The console's status has the same counts.

--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -82,12 +82,16 @@
     const auto& counts = router.counts();
     out += row(
         "%s: open %zu, standing %zu, offered %llu, served %llu, refused %llu, failed %llu, left %llu, "
-        "cut %llu, attempts %llu\n",
+        "cut %llu, attempts %llu, retries %llu, timed out %llu, reset %llu, not sent %llu, rejected %llu, "
+        "unmatched %llu\n",
         service->kind(), router.pending_count(), router.established_count(),
         static_cast<unsigned long long>(counts.offered), static_cast<unsigned long long>(counts.served),
         static_cast<unsigned long long>(counts.refused), static_cast<unsigned long long>(counts.failed),
         static_cast<unsigned long long>(counts.abandoned), static_cast<unsigned long long>(counts.cut_off),
-        static_cast<unsigned long long>(counts.attempts));
+        static_cast<unsigned long long>(counts.attempts), static_cast<unsigned long long>(counts.retries),
+        static_cast<unsigned long long>(counts.timed_out), static_cast<unsigned long long>(counts.reset),
+        static_cast<unsigned long long>(counts.not_sent), static_cast<unsigned long long>(counts.rejected),
+        static_cast<unsigned long long>(counts.unmatched));
     out += service->extra_status();
   }
   return out;
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -1,6 +1,9 @@
 #include "core/router.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
 #include <memory>
 #include <utility>
 
@@ -8,6 +11,41 @@
 
 using namespace maddershed;
 
+namespace {
+
+const char* text_of(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::ended:
+      return "ended";
+    case AttemptResult::error:
+      return "error";
+    case AttemptResult::not_set_up:
+      return "not_set_up";
+    case AttemptResult::timed_out:
+      return "timed_out";
+    case AttemptResult::connect_failed:
+      return "connect_failed";
+    case AttemptResult::reset:
+      return "reset";
+    case AttemptResult::cancelled:
+      return "cancelled";
+    case AttemptResult::not_sent:
+      break;
+  }
+  return "not_sent";
+}
+
+/// Eight hexadecimal digits.
+std::string text_of(ExchangeId exchange) {
+  std::array<char, 9> text{};
+  std::snprintf(text.data(), text.size(), "%08x", exchange.value);
+  return text.data();
+}
+
+std::int64_t whole_ms(double duration_ms) { return std::llround(duration_ms); }
+
+}  // namespace
+
 Router::Router(Clock& clock, TimerQueue& timers, const Settings& settings, std::uint64_t seed)
     : Router(clock, timers, to_ms(settings.release_wait),
              [controller = std::make_shared<CallController>(settings, seed)](Time now, const Event& event,
@@ -19,6 +57,7 @@
     : clock_(clock),
       timers_(timers),
       log_([](LogLevel, const char*, const std::vector<LogField>&) {}),
+      request_log_(clock),
       decide_(std::move(decide)),
       release_wait_ms_(release_wait_ms) {}
 
@@ -75,7 +114,7 @@
   requests_.find(handle)->answer_timer = timers_.schedule(now_ms + time_left_ms + 1, [this, handle] {
     if (auto* late = requests_.find(handle); late != nullptr) {
       late->answer_timer = {};
-      answer_without_call(handle, false, 0);
+      answer_without_call(handle, false, 0, "deadline");
       process_event(CallerLeft{CallId{handle}});
     }
   });
@@ -88,6 +127,9 @@
   state->answered = true;
   --pending_count_;
   ++counts_.abandoned;
+  request_log_.write(LogLevel::debug, "caller_left", [&] {
+    return std::vector<LogField>{{"call", state->request.wire_id}, {"attempts", state->attempts}};
+  });
   timers_.cancel(state->answer_timer);
   process_event(CallerLeft{CallId{handle}});
   erase_if_done(handle);
@@ -103,12 +145,18 @@
 }
 
 /// Gives the final answer to a request whose call was not established. Each such answer is given here, once.
-void Router::answer_without_call(Handle handle, bool refuse, double wait_ms) {
+void Router::answer_without_call(Handle handle, bool refuse, double wait_ms, const char* reason) {
   auto* state = requests_.find(handle);
   if (state == nullptr || state->answered) return;
   state->answered = true;
   --pending_count_;
   ++(refuse ? counts_.refused : counts_.failed);
+  request_log_.write(LogLevel::info, refuse ? "request_refused" : "request_failed", [&] {
+    return std::vector<LogField>{{"call", state->request.wire_id},
+                                 {"reason", reason},
+                                 {"attempts", state->attempts},
+                                 {"after_ms", whole_ms(clock_.now_ms() - state->offered_at_ms)}};
+  });
   timers_.cancel(state->answer_timer);
   Frontend* frontend = state->frontend;
   if (refuse) {
@@ -142,7 +190,8 @@
   if (state == nullptr || state->answered) return;
   if (state->attempt != no_handle) {
     // Rule: a request never has two attempts in flight.
-    log_(LogLevel::warn, "attempt_suppressed", {{"cause", "another_is_out"}});
+    log_(LogLevel::warn, "attempt_suppressed",
+         {{"cause", "another_is_out"}, {"call", state->request.wire_id}});
     return;
   }
   const auto limit = state->request.attempt_limit;
@@ -150,8 +199,8 @@
       (limit == 0 ? max_attempts_per_request : std::min(limit, max_attempts_per_request))) {
     // Rule: the number of attempts is limited. The caller gets its answer at once, and the module is told
     // that the call is over.
-    log_(LogLevel::warn, "attempt_suppressed", {{"cause", "limit"}});
-    answer_without_call(handle, false, 0);
+    log_(LogLevel::warn, "attempt_suppressed", {{"cause", "limit"}, {"call", state->request.wire_id}});
+    answer_without_call(handle, false, 0, "attempt_limit");
     process_event(CallerLeft{CallId{handle}});
     return;
   }
@@ -166,7 +215,8 @@
   const auto known = exchanges_.find(action.exchange);
   if (known == exchanges_.end() || known->second.state != ExchangeState::ready) {
     // Rule: a converter that drains or is gone gets no new attempts.
-    log_(LogLevel::warn, "attempt_suppressed", {{"cause", "not_in_service"}});
+    log_(LogLevel::warn, "attempt_suppressed",
+         {{"cause", "not_in_service"}, {"call", state->request.wire_id}});
     finish_attempt(id, {.result = AttemptResult::not_sent});
     return;
   }
@@ -182,7 +232,7 @@
   if (now_ms < state->next_attempt_ms) {
     // Rule: after a timeout, a reset or a cancellation the next attempt waits for the release of the last
     // one.
-    log_(LogLevel::info, "attempt_held", {{"cause", "release_wait"}});
+    log_(LogLevel::info, "attempt_held", {{"cause", "release_wait"}, {"call", state->request.wire_id}});
     timers_.schedule(state->next_attempt_ms, [this, id] { send_attempt(id); });
     return;
   }
@@ -202,14 +252,16 @@
   attempt->was_sent = true;
   attempt->sent_at_ms = clock_.now_ms();
   ++counts_.attempts;
+  if (attempt->index > 0) ++counts_.retries;
+  log_attempt_sent(*state, *attempt);
   const double time_left_ms = std::max(1.0, attempt->deadline_timer.due_ms - attempt->sent_at_ms);
   backend_->send_attempt(id, attempt->exchange, state->request, time_left_ms);
 }
 
 void Router::perform(const Refuse& action) {
-  answer_without_call(action.call.value, true, to_ms(action.retry_after));
+  answer_without_call(action.call.value, true, to_ms(action.retry_after), "decision");
 }
-void Router::perform(const Fail& action) { answer_without_call(action.call.value, false, 0); }
+void Router::perform(const Fail& action) { answer_without_call(action.call.value, false, 0, "decision"); }
 
 void Router::perform(const Cancel& action) {
   auto* state = requests_.find(action.call.value);
@@ -301,8 +353,11 @@
   event.call_finished = state->answered;
   event.exchange_excluded = outcome.exchange_excluded;
   if (outcome.exchange_excluded)
-    log_(LogLevel::info, "attempt_suppressed", {{"cause", "release_unacknowledged"}});
+    log_(LogLevel::info, "attempt_suppressed",
+         {{"cause", "release_unacknowledged"}, {"call", state->request.wire_id}});
   timers_.cancel(attempt->deadline_timer);
+  log_attempt_ended(*state, *attempt, outcome);
+  if (!state->established) count_attempt_without_call(outcome.result);
   if (state->established) {
     if (--established_at_[attempt->exchange] == 0) established_at_.erase(attempt->exchange);
     const bool normal = outcome.result == AttemptResult::ended;
@@ -324,6 +379,62 @@
   process_event(event);
 }
 
+/// The first attempt of a request is logged in detail only: the usual request has no other one.
+void Router::log_attempt_sent(const RequestState& state, const Attempt& attempt) {
+  request_log_.write(attempt.index > 0 ? LogLevel::info : LogLevel::debug, "attempt_sent", [&] {
+    return std::vector<LogField>{{"call", state.request.wire_id},
+                                 {"attempt", attempt.index},
+                                 {"converter", text_of(attempt.exchange)}};
+  });
+}
+
+void Router::log_attempt_ended(const RequestState& state, const Attempt& attempt,
+                               const AttemptOutcome& outcome) {
+  const bool usual = state.established && outcome.result == AttemptResult::ended;
+  request_log_.write(usual ? LogLevel::debug : LogLevel::info, "attempt_ended", [&] {
+    return std::vector<LogField>{{"call", state.request.wire_id},
+                                 {"attempt", attempt.index},
+                                 {"converter", text_of(attempt.exchange)},
+                                 {"result", text_of(outcome.result)},
+                                 {"code", outcome.cause_code},
+                                 {"established", state.established ? "yes" : "no"},
+                                 {"after_ms", whole_ms(clock_.now_ms() - attempt.sent_at_ms)}};
+  });
+}
+
+void Router::count_attempt_without_call(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::timed_out:
+      ++counts_.timed_out;
+      return;
+    case AttemptResult::reset:
+      ++counts_.reset;
+      return;
+    case AttemptResult::connect_failed:
+    case AttemptResult::not_sent:
+      ++counts_.not_sent;
+      return;
+    case AttemptResult::cancelled:
+      return;
+    case AttemptResult::ended:
+    case AttemptResult::error:
+    case AttemptResult::not_set_up:
+      ++counts_.rejected;
+  }
+}
+
+void Router::message_unmatched(ExchangeId exchange, const std::string& wire_id, const char* kind,
+                               const char* reason, int code) {
+  ++counts_.unmatched;
+  request_log_.write(LogLevel::info, "message_unmatched", [&] {
+    return std::vector<LogField>{{"call", wire_id},
+                                 {"converter", text_of(exchange)},
+                                 {"message", kind},
+                                 {"code", code},
+                                 {"reason", reason}};
+  });
+}
+
 void Router::exchange_reported(ExchangeId exchange, const LoadReport& report, bool succeeded,
                                double elapsed_ms) {
   process_event(ExchangeReport{exchange, succeeded, to_duration(elapsed_ms), report});
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/clock.hpp"
+#include "core/request_log.hpp"
 #include "core/slots.hpp"
 #include "core/timer_queue.hpp"
 #include "log/event.hpp"
@@ -78,6 +79,7 @@
   double wait_hint_ms = 0;  ///< from a full processor
   /// The attempt was not sent, and the request must not be sent to this converter any more.
   bool exchange_excluded = false;
+  int cause_code = 0;  ///< as the converter gave it, for the log; 0: it gave none
   maddershed::LoadReport report{};
 };
 
@@ -86,9 +88,13 @@
 class Router {
  public:
   /// Totals since the start. `abandoned`: the caller left before an answer; `cut_off`: established calls that
-  /// ended abnormally.
+  /// ended abnormally; `unmatched`: messages of converters that belong to no attempt in flight. Attempts
+  /// without a call: `timed_out`, `reset`, `not_sent` (suppressed, or no connection) and `rejected` (any
+  /// other end).
   struct Counts {
-    std::uint64_t offered = 0, served = 0, refused = 0, failed = 0, abandoned = 0, cut_off = 0, attempts = 0;
+    std::uint64_t offered = 0, served = 0, refused = 0, failed = 0, abandoned = 0, cut_off = 0;
+    std::uint64_t attempts = 0, retries = 0, timed_out = 0, reset = 0, not_sent = 0, rejected = 0,
+                  unmatched = 0;
   };
 
   /// Processes an event and appends the resulting actions, as CallController::handle does.
@@ -100,7 +106,10 @@
   /// Uses another decision function than the module's; for tests.
   Router(Clock& clock, TimerQueue& timers, double release_wait_ms, DecisionFunction decide);
   void set_backend(Backend& backend) { backend_ = &backend; }
-  void set_log(LogSink log) { log_ = std::move(log); }
+  void set_log(LogSink log) {
+    request_log_.set_sink(log);
+    log_ = std::move(log);
+  }
   void start();
 
   // Called by frontends.
@@ -122,6 +131,10 @@
   void directory_updated(const maddershed::DirectoryUpdate& update);
   /// Ends the calls set up at the exchange before `before_ms` (Unix time): it is lost and sends no releases.
   void exchange_lost(ExchangeId exchange, double before_ms);
+  /// A message about a request arrived that belongs to no attempt in flight at this exchange. `kind`: of the
+  /// message; `reason`: why it belongs to none; `code`: its cause code, or -1.
+  void message_unmatched(ExchangeId exchange, const std::string& wire_id, const char* kind,
+                         const char* reason, int code);
 
   [[nodiscard]] bool is_established(Handle attempt);
   /// Requests without a final answer.
@@ -171,13 +184,18 @@
   void perform(const maddershed::LogLine& action);
   void send_attempt(Handle attempt);
   void finish_attempt(Handle attempt, const AttemptOutcome& outcome);
-  void answer_without_call(Handle request, bool refuse, double wait_ms);
+  /// `reason`: why the request is answered now, for the log.
+  void answer_without_call(Handle request, bool refuse, double wait_ms, const char* reason);
+  void log_attempt_sent(const RequestState& state, const Attempt& attempt);
+  void log_attempt_ended(const RequestState& state, const Attempt& attempt, const AttemptOutcome& outcome);
+  void count_attempt_without_call(maddershed::AttemptResult result);
   void erase_if_done(Handle request);
 
   Clock& clock_;
   TimerQueue& timers_;
   Backend* backend_ = nullptr;
   LogSink log_;
+  RequestLog request_log_;
   DecisionFunction decide_;
   double release_wait_ms_;
   SlotTable<RequestState> requests_;
--- a/src/platform/converter_backend.cpp
+++ b/src/platform/converter_backend.cpp
@@ -548,6 +548,7 @@
       const auto it = peer.attempts.find(message.call_id);
       if (it != peer.attempts.end()) return router_.attempt_succeeded(it->second, *message.description);
       // No request waits for it: it crossed the release of an abandoned attempt, or this process restarted.
+      router_.message_unmatched(id, message.call_id, "accept", "no_attempt", -1);
       return send_release(peer, message.call_id, connection);
     }
     case Op::end:
@@ -563,6 +564,8 @@
   const int cause_code = message.code.value_or(cause::normal);
   const auto it = peer.attempts.find(message.call_id);
   if (it == peer.attempts.end()) {
+    router_.message_unmatched(peer.converter.entry.exchange, message.call_id, "end", "no_attempt",
+                              cause_code);
     // Only the end of an established call is passed on; a refusal of an unknown id belongs to an abandoned
     // set-up.
     if (cause_code == cause::normal || cause_code == cause::temporary_failure)
@@ -571,6 +574,7 @@
   }
   const auto attempt = it->second;
   AttemptOutcome outcome;
+  outcome.cause_code = cause_code;
   outcome.report = load_report_of(message);
   if (router_.is_established(attempt)) {
     outcome.result = cause_code == cause::normal ? AttemptResult::ended : AttemptResult::reset;
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -10,6 +10,7 @@
 constexpr double shutdown_poll_interval_ms = 20;
 constexpr double delivery_delay_ms = 100;
 constexpr double dropped_report_interval_ms = 200;
+constexpr double totals_interval_ms = 10000;
 
 }  // namespace
 
@@ -52,11 +53,48 @@
     event_add(signals.back().get(), nullptr);
   }
   for (const auto& service : services_) service->start();
+  log_totals_later();
   net_.run();
+  log_totals();
   log(LogLevel::info, "stopped");
   return 0;
 }
 
+/// Logs the totals of each service that had requests since they were logged last.
+void Program::log_totals() {
+  for (const auto& service : services_) {
+    auto& router = service->router();
+    const auto& counts = router.counts();
+    auto& logged_offers = logged_offers_[service.get()];
+    if (counts.offered == logged_offers) continue;
+    logged_offers = counts.offered;
+    log(LogLevel::info, "totals",
+        {{"front", service->kind()},
+         {"open", router.pending_count()},
+         {"established", router.established_count()},
+         {"offered", counts.offered},
+         {"served", counts.served},
+         {"refused", counts.refused},
+         {"failed", counts.failed},
+         {"left", counts.abandoned},
+         {"cut", counts.cut_off},
+         {"attempts", counts.attempts},
+         {"retries", counts.retries},
+         {"timed_out", counts.timed_out},
+         {"reset", counts.reset},
+         {"not_sent", counts.not_sent},
+         {"rejected", counts.rejected},
+         {"unmatched", counts.unmatched}});
+  }
+}
+
+void Program::log_totals_later() {
+  timers_.schedule(clock_.now_ms() + totals_interval_ms, [this] {
+    log_totals();
+    log_totals_later();
+  });
+}
+
 void Program::reload() {
   for (const auto& service : services_) {
     service->reload([this, kind = service->kind()](const std::string& error) {
--- a/src/program.hpp
+++ b/src/program.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <csignal>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -45,6 +46,8 @@
  private:
   void stop_when_done();
   void report_dropped_lines();
+  void log_totals();
+  void log_totals_later();
 
   EventLog& log_;
   Clock clock_;
@@ -52,6 +55,7 @@
   Connections net_;
   Datagrams datagrams_;
   std::vector<std::unique_ptr<Service>> services_;
+  std::map<const Service*, std::uint64_t> logged_offers_;  ///< requests offered when the totals were logged
   double started_ms_ = 0;
   double shutdown_deadline_ms_ = 0;
   bool draining_ = false;
--- a/tests/router/core_test.cpp
+++ b/tests/router/core_test.cpp
@@ -206,5 +206,23 @@
   CHECK(queue.size() == 1);
 }
 
+// Guards against a flood of requests that fills the log.
+TEST_CASE("lines about single requests are limited in rate, and the omitted ones are counted") {
+  Clock clock;
+  clock.set(1e12);
+  RequestLog log(clock);
+  std::vector<std::string> lines;
+  log.set_sink([&](LogLevel, const char* event, const std::vector<LogField>& fields) {
+    lines.push_back(event + (fields.empty() ? "" : " " + fields[0].text));
+  });
+  for (std::uint32_t i = 0; i < RequestLog::max_lines_per_second + 3; ++i)
+    log.write(LogLevel::info, "request_refused", [] { return std::vector<LogField>{}; });
+  CHECK(lines.size() == RequestLog::max_lines_per_second);
+  lines.clear();
+  clock.set(1e12 + 1000);
+  log.write(LogLevel::info, "request_refused", [] { return std::vector<LogField>{}; });
+  CHECK(lines == std::vector<std::string>{"request_lines_omitted 3", "request_refused"});
+}
+
 }  // namespace
 }  // namespace heathturn
