Fix: an attempt whose outcome is unknown is released before the call is sent again

Cause: an attempt that ended with its connection was forgotten (ConverterBackend::on_ended()). If the converter had set the call up and only the answer was lost, the call went on there. Its own end (cause 16) came on the other connection under the id that the next attempt has too, and on_end_message() took it for an error of that attempt, which is retried at once.

Change: whenever an attempt ends with an unknown outcome, its call is released at the converter. As for attempts that are given up, the converter gets the call again only when it has acknowledged that. An end with cause 16 before any answer means that an answer was lost: the outcome is unknown, so the release wait applies, not the immediate retry of an error.

Why this works: the call of the lost answer is cut before the next attempt is sent, so that its own end can't come later.

"a call whose answer broke off is released at its converter ..." is new.

--- a/src/platform/converter_backend.cpp
+++ b/src/platform/converter_backend.cpp
@@ -310,8 +310,7 @@
       attempts_[attempt].connection = no_handle;
       continue;
     }
-    erase_attempt(attempt);
-    router_.attempt_ended(attempt, {.result = AttemptResult::reset});
+    end_with_unknown_outcome(attempt, no_handle, {});
   }
   const auto unreleased = peer.unacknowledged_releases.connection_ended(
       connection, ended_by(end_reason), clock_.now_ms() - release_read_timeout_ms);
@@ -320,6 +319,18 @@
   reconnect_later(peer, location.index);
 }
 
+/// Ends an attempt of which the converter may have a call: that is released, so that its own end can't be
+/// taken for one of the next attempt.
+void ConverterBackend::end_with_unknown_outcome(Handle attempt, Handle preferred, AttemptOutcome outcome) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  const auto attempt_state = it->second;
+  erase_attempt(attempt);
+  send_release(peers_[attempt_state.exchange], attempt_state.call_id, preferred);
+  outcome.result = AttemptResult::reset;
+  router_.attempt_ended(attempt, outcome);
+}
+
 /// Fails the attempts that waited for a connection: they were never sent.
 void ConverterBackend::fail_waiting_attempts(Peer& peer) {
   for (const auto attempt : std::exchange(peer.waiting_attempts, {})) {
@@ -584,6 +595,9 @@
     net_.write(connection, serialize_message(acknowledgement));
   } else {
     outcome.result = result_of(cause_code);
+    // A call has ended here of which no answer arrived: that of this attempt, or of an earlier one.
+    if (cause_code == cause::normal) outcome.result = AttemptResult::reset;
+    if (outcome.result == AttemptResult::reset) return end_with_unknown_outcome(attempt, connection, outcome);
     if (const auto* note = message.field("note")) outcome.cause = cause_of(*note);
     outcome.wait_hint_ms = std::max(0.0, message.number("waited", 0));
   }
--- a/src/platform/converter_backend.hpp
+++ b/src/platform/converter_backend.hpp
@@ -102,6 +102,7 @@
   void connect_at(Peer& peer, std::size_t index, double time_ms);
   Handle connect_tls(Peer& peer, std::size_t index);
   void write_set_up(Handle attempt, Handle connection);
+  void end_with_unknown_outcome(Handle attempt, Handle preferred, AttemptOutcome outcome);
   void fail_waiting_attempts(Peer& peer);
   void on_message(Peer& peer, Handle connection, const Message& message);
   void on_end_message(Peer& peer, Handle connection, const Message& message);
--- a/tests/router/repeated_attempts_test.cpp
+++ b/tests/router/repeated_attempts_test.cpp
@@ -88,8 +88,7 @@
 
 // Guards against issue 34: the end of a call whose answer had broken off was taken for the end of the next
 // attempt at the same converter, and a third attempt was sent while the second one was out.
-TEST_CASE("the end of a call whose answer broke off is not taken for the end of the next attempt",
-          "[known_red]") {
+TEST_CASE("the end of a call whose answer broke off is not taken for the end of the next attempt") {
   RepeatedAttemptFixture fixture;
   fixture.caller.send_message(PlatformFixture::make_offer(call_a, 3000));
   fixture.break_off_answer(fixture.next_offer());
@@ -99,5 +98,23 @@
   CHECK(fixture.most_attempts_out == 1);
 }
 
+// Guards against leaving a call at a converter of which nobody knows.
+TEST_CASE("a call whose answer broke off is released at its converter, and until then not sent there again") {
+  RepeatedAttemptFixture fixture;
+  fixture.caller.send_message(PlatformFixture::make_offer(call_a, 3000));
+  auto& connection = fixture.next_offer();
+  fixture.break_off_answer(connection);
+  const auto release = fixture.next_message();
+  REQUIRE(release.first == &fixture.other_than(connection));
+  CHECK(release.second.op == Op::end);
+  // The release is not acknowledged: the call goes through the other converter.
+  const auto attempt = fixture.converter_connections[1].read_message();
+  CHECK(attempt.op == Op::offer);
+  CHECK(attempt.call_id == call_a);
+  CHECK(fixture.offers == 1);
+  fixture.converter_connections[1].send_message(PlatformFixture::make_message(Op::accept, call_a));
+  CHECK(fixture.caller.read_message().op == Op::accept);
+}
+
 }  // namespace
 }  // namespace heathturn::test
