Fix: what a converter says of an earlier attempt no longer ends the next one

What callers saw: nothing at once; a call was set up twice at one converter, or failed while its attempt went on.

Cause: ConverterBackend::on_end_message() matched by the id of the call alone. A refusal (34, 102) or an error is retried at once, and its second copy, which may follow some milliseconds later, ended the next attempt at the same converter: a third one was sent while the second one was out. The same held for an end on another connection than that of the set-up.

Change: an end counts for an attempt without an answer only on the connection of its set-up. A call goes again to a converter 50 ms after its last attempt there ended at the earliest (EndedAttempts). When an established call ends that had been sent to its converter before, it is released there as well, since the end may be of the earlier attempt.

Why this works: a set-up is given up with its connection, so that its answer can come on no other one; a copy comes before the next set-up is written, and matches nothing then. What still can't be told apart leaves no call standing.

--- a/src/platform/converter_backend.cpp
+++ b/src/platform/converter_backend.cpp
@@ -30,6 +30,8 @@
 constexpr double probe_timeout_ms = 10000;
 // A peer that ends a connection this long after a release was written to it has read the release.
 constexpr double release_read_timeout_ms = 1000;
+// A second copy of an answer may follow some milliseconds after the first one.
+constexpr double answer_copy_window_ms = 50;
 constexpr double gone_grace_period_ms = 1000;  // the converter's last releases may still be in flight
 
 FailureCause cause_of(const std::string& note) {
@@ -326,7 +328,9 @@
   if (it == attempts_.end()) return;
   const auto attempt_state = it->second;
   erase_attempt(attempt);
-  send_release(peers_[attempt_state.exchange], attempt_state.call_id, preferred);
+  auto& peer = peers_[attempt_state.exchange];
+  peer.ended_attempts.add(attempt_state.call_id, clock_.now_ms());
+  send_release(peer, attempt_state.call_id, preferred);
   outcome.result = AttemptResult::reset;
   router_.attempt_ended(attempt, outcome);
 }
@@ -365,6 +369,7 @@
   std::erase_if(probes_,
                 [now_ms](const auto& each) { return now_ms - each.second.second >= probe_timeout_ms; });
   peer.unacknowledged_releases.forget_sent_before(now_ms - config_.max_time_left_ms());
+  peer.ended_attempts.forget_ended_before(now_ms - config_.max_time_left_ms());
   timers_.schedule(now_ms + check_interval_ms, [this, id] { check_peer(id); });
   if (peer.attempts.empty() && peer.unacknowledged_releases.empty()) return;
   if (peer.failing_tests_since_ms != 0 && now_ms - peer.failing_tests_since_ms >= failing_tests_timeout_ms)
@@ -422,9 +427,24 @@
                     {"key", request.key},
                     {"left", std::to_string(std::lround(std::floor(time_left_ms)))}};
   message.description = request.body;
-  attempts_[attempt] = {exchange, request.wire_id, no_handle, serialize_message(message),
-                        clock_.now_ms() + time_left_ms};
+  const double now_ms = clock_.now_ms();
+  const auto last_ended_ms = peer.ended_attempts.ended_at_ms(request.wire_id);
+  attempts_[attempt] = {.exchange = exchange,
+                        .call_id = request.wire_id,
+                        .repeated = last_ended_ms.has_value(),
+                        .serialized_offer = serialize_message(message),
+                        .deadline_ms = now_ms + time_left_ms};
   peer.attempts[request.wire_id] = attempt;
+  const double due_ms = last_ended_ms.value_or(0) + answer_copy_window_ms;
+  if (now_ms >= due_ms) return write_or_wait(attempt);
+  timers_.schedule(due_ms, [this, attempt] { write_or_wait(attempt); });
+}
+
+/// Writes the set-up on an open connection; without one, the attempt waits.
+void ConverterBackend::write_or_wait(Handle attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  auto& peer = peers_[it->second.exchange];
   if (const auto connection = select_connection(peer); connection != no_handle) {
     return write_set_up(attempt, connection);
   }
@@ -459,9 +479,11 @@
   if (it == attempts_.end()) return;
   const auto attempt_state = it->second;
   erase_attempt(attempt);
-  // A set-up that still waited for a connection was never sent.
-  if (attempt_state.connection != no_handle)
-    send_release(peers_[attempt_state.exchange], attempt_state.call_id, attempt_state.connection);
+  // A set-up that was not written was never sent.
+  if (attempt_state.connection == no_handle) return;
+  auto& peer = peers_[attempt_state.exchange];
+  peer.ended_attempts.add(attempt_state.call_id, clock_.now_ms());
+  send_release(peer, attempt_state.call_id, attempt_state.connection);
 }
 
 void ConverterBackend::release_call(Handle attempt) {
@@ -584,10 +606,17 @@
     return;
   }
   const auto attempt = it->second;
+  const bool established = router_.is_established(attempt);
+  // A set-up is answered on its own connection. Anything else is about an earlier attempt of the call.
+  if (!established && attempts_[attempt].connection != connection) {
+    return router_.message_unmatched(peer.converter.entry.exchange, message.call_id, "end",
+                                     "other_connection", cause_code);
+  }
   AttemptOutcome outcome;
   outcome.cause_code = cause_code;
   outcome.report = load_report_of(message);
-  if (router_.is_established(attempt)) {
+  const bool may_be_of_earlier_attempt = attempts_[attempt].repeated;
+  if (established) {
     outcome.result = cause_code == cause::normal ? AttemptResult::ended : AttemptResult::reset;
     Message acknowledgement;
     acknowledgement.op = Op::ended;
@@ -602,6 +631,9 @@
     outcome.wait_hint_ms = std::max(0.0, message.number("waited", 0));
   }
   erase_attempt(attempt);
+  if (!established) peer.ended_attempts.add(message.call_id, clock_.now_ms());
+  // The call must not stay at the converter when it is over for its caller.
+  if (established && may_be_of_earlier_attempt) send_release(peer, message.call_id, connection);
   router_.attempt_ended(attempt, outcome);
 }
 
--- a/src/platform/converter_backend.hpp
+++ b/src/platform/converter_backend.hpp
@@ -15,6 +15,7 @@
 #include "handshakes/admission.hpp"
 #include "net/connections.hpp"
 #include "net/framing.hpp"
+#include "platform/ended_attempts.hpp"
 #include "platform/message.hpp"
 #include "platform/unacknowledged_releases.hpp"
 #include "service.hpp"
@@ -78,6 +79,7 @@
     std::vector<Handle> waiting_attempts;              ///< until a connection is open
     std::vector<std::string> queued_releases;          ///< call ids, until a connection is open
     UnacknowledgedReleases unacknowledged_releases;
+    EndedAttempts ended_attempts;
     double reconnect_delay_ms = 0;
     double unreachable_since_ms = 0;    ///< since when no connection is open; 0: one is
     double failing_tests_since_ms = 0;  ///< since when it only sends failed tests; 0: it does not
@@ -88,7 +90,8 @@
   struct AttemptState {
     ExchangeId exchange;
     std::string call_id;
-    Handle connection = no_handle;  ///< none while the attempt waits for one
+    Handle connection = no_handle;  ///< none until the set-up is written
+    bool repeated = false;          ///< an earlier attempt of the call ended at this converter
     std::string serialized_offer;
     double deadline_ms = 0;
   };
@@ -101,6 +104,7 @@
   void register_for_admission(const Peer& peer);
   void connect_at(Peer& peer, std::size_t index, double time_ms);
   Handle connect_tls(Peer& peer, std::size_t index);
+  void write_or_wait(Handle attempt);
   void write_set_up(Handle attempt, Handle connection);
   void end_with_unknown_outcome(Handle attempt, Handle preferred, AttemptOutcome outcome);
   void fail_waiting_attempts(Peer& peer);
--- a/tests/router/repeated_attempts_test.cpp
+++ b/tests/router/repeated_attempts_test.cpp
@@ -116,5 +116,48 @@
   CHECK(fixture.caller.read_message().op == Op::accept);
 }
 
+// Guards against taking the second copy of a refusal for the answer to the next attempt.
+TEST_CASE("a second copy of a refusal does not end the next attempt at the same converter") {
+  RepeatedAttemptFixture fixture;
+  fixture.caller.send_message(PlatformFixture::make_offer(call_a, 3000));
+  auto& connection = fixture.next_offer();
+  fixture.attempts_out = 0;
+  connection.send_message(RepeatedAttemptFixture::refusal());
+  std::this_thread::sleep_for(std::chrono::milliseconds(15));
+  connection.send_message(RepeatedAttemptFixture::refusal());
+  const auto& next = fixture.next_offer();
+  fixture.run_for(200);
+  CHECK(fixture.most_attempts_out == 1);
+  CHECK(fixture.offers == 2);
+  fixture.check_served_by(next);
+}
+
+// Guards against taking what a converter says of an earlier attempt for the answer to the next one.
+TEST_CASE("an end on another connection than that of the set-up does not end the attempt") {
+  RepeatedAttemptFixture fixture;
+  fixture.caller.send_message(PlatformFixture::make_offer(call_a, 3000));
+  const auto& connection = fixture.next_offer();
+  for (const int code : {cause::normal, cause::no_circuit, cause::temporary_failure})
+    fixture.other_than(connection).send_message(PlatformFixture::make_message(Op::end, call_a, code));
+  fixture.run_for(200);
+  CHECK(fixture.offers == 1);
+  CHECK(fixture.releases == 0);
+  fixture.check_served_by(connection);
+}
+
+// Guards against a call that is over for its caller and goes on at its converter.
+TEST_CASE("the end of a call that was sent to its converter twice releases it there as well") {
+  RepeatedAttemptFixture fixture;
+  fixture.caller.send_message(PlatformFixture::make_offer(call_a, 3000));
+  fixture.next_offer().send_message(RepeatedAttemptFixture::refusal());
+  fixture.attempts_out = 0;
+  const auto& connection = fixture.next_offer();
+  fixture.check_served_by(connection);
+  fixture.other_than(connection).send_message(PlatformFixture::make_message(Op::end, call_a, cause::normal));
+  CHECK(fixture.caller.read_message().op == Op::end);
+  fixture.run_for(100);
+  CHECK(fixture.releases == 1);
+}
+
 }  // namespace
 }  // namespace heathturn::test
