Fix: calls at a converter that took over an address are released there

What callers saw: a call that was over for them stood on at its converter, and its end was not recognised; calls set up there before the list told of the new converter were cut only 1 s after, and never released.

ConverterBackend::update_list() then closed those connections: the releases queued for the old id were dropped with it, and an end that came on a connection of the new id matched no attempt there.

Change: when a converter turns out to have a predecessor at its address, the calls of that one end at once, its connections are closed, and all its releases, sent or queued, go to the successor (hand_over_releases()).

--- a/src/platform/converter_backend.cpp
+++ b/src/platform/converter_backend.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <limits>
 
 #include "net/tls/handshake_outcome.hpp"
 
@@ -72,7 +73,7 @@
 
 void ConverterBackend::update_list(const std::vector<Converter>& list, bool is_snapshot) {
   DirectoryUpdate update;
-  std::vector<ExchangeId> withdrawn;
+  std::vector<Succession> successions;
   update.kind = is_snapshot ? DirectoryUpdate::Kind::snapshot : DirectoryUpdate::Kind::changes;
   if (is_snapshot) {
     for (auto& [id, peer] : peers_) peer.converter.entry.state = ExchangeState::gone;
@@ -95,9 +96,9 @@
       check_peer(id);
     }
     if (converter.entry.state != ExchangeState::gone && (is_new || moved)) {
-      for (const auto predecessor : withdraw_predecessors(converter)) {
-        update.entries.push_back(peers_[predecessor].converter.entry);
-        withdrawn.push_back(predecessor);
+      for (const auto& succession : withdraw_predecessors(converter)) {
+        update.entries.push_back(peers_[succession.predecessor].converter.entry);
+        successions.push_back(succession);
       }
     }
     // A restarted process has lost the calls established before its start. The list reports the restart late,
@@ -122,21 +123,35 @@
     }
   }
   router_.directory_updated(update);
-  for (const auto id : withdrawn) close_connections(peers_[id]);
+  for (const auto& succession : successions) hand_over_releases(succession);
 }
 
 /// A process has the address to itself: a converter that was listed there before has gone, even when the list
 /// does not say so, and its connections, if they were opened again, lead to the new process. Returns these
 /// converters.
-std::vector<ExchangeId> ConverterBackend::withdraw_predecessors(const Converter& successor) {
-  std::vector<ExchangeId> withdrawn;
+std::vector<ConverterBackend::Succession> ConverterBackend::withdraw_predecessors(
+    const Converter& successor) {
+  std::vector<Succession> successions;
   for (auto& [id, peer] : peers_) {
     if (id == successor.entry.exchange || peer.converter.address != successor.address) continue;
     if (peer.converter.entry.state == ExchangeState::gone && !has_connections(peer)) continue;
     peer.converter.entry.state = ExchangeState::gone;
-    withdrawn.push_back(id);
+    successions.push_back({id, successor.entry.exchange});
   }
-  return withdrawn;
+  return successions;
+}
+
+/// Before the list told of it, the successor may have been sent calls in the name of its predecessor. The
+/// calls of the predecessor are over, and are released at the successor, so that none is left there.
+void ConverterBackend::hand_over_releases(const Succession& succession) {
+  auto& predecessor = peers_[succession.predecessor];
+  router_.exchange_lost(succession.predecessor, std::numeric_limits<double>::infinity());
+  close_connections(predecessor);
+  std::set<std::string> unreleased;
+  for (auto& call_id : std::exchange(predecessor.queued_releases, {})) unreleased.insert(std::move(call_id));
+  for (auto& call_id : predecessor.unacknowledged_releases.take_all()) unreleased.insert(std::move(call_id));
+  auto& successor = peers_[succession.successor];
+  for (const auto& call_id : unreleased) send_release(successor, call_id, no_handle);
 }
 
 void ConverterBackend::close_connections(Peer& peer) {
--- a/src/platform/converter_backend.hpp
+++ b/src/platform/converter_backend.hpp
@@ -116,7 +116,12 @@
   void send_test(Peer& peer, Handle connection, int code);
   void check_peer(ExchangeId exchange);
   void remove_peer(ExchangeId exchange);
-  std::vector<ExchangeId> withdraw_predecessors(const Converter& successor);
+  /// A converter whose address another one has taken over.
+  struct Succession {
+    ExchangeId predecessor, successor;
+  };
+  std::vector<Succession> withdraw_predecessors(const Converter& successor);
+  void hand_over_releases(const Succession& succession);
   void close_connections(Peer& peer);
   /// Whether any connection is open or being opened.
   [[nodiscard]] static bool has_connections(const Peer& peer);
--- a/src/platform/unacknowledged_releases.cpp
+++ b/src/platform/unacknowledged_releases.cpp
@@ -43,6 +43,14 @@
   return unreleased;
 }
 
+std::vector<std::string> UnacknowledgedReleases::take_all() {
+  std::vector<std::string> call_ids;
+  call_ids.reserve(by_call_id_.size());
+  for (const auto& [call_id, state] : by_call_id_) call_ids.push_back(call_id);
+  by_call_id_.clear();
+  return call_ids;
+}
+
 void UnacknowledgedReleases::forget_sent_before(double time_ms) {
   std::erase_if(by_call_id_, [time_ms](const auto& each) { return each.second.last_sent_at_ms < time_ms; });
 }
--- a/src/platform/unacknowledged_releases.hpp
+++ b/src/platform/unacknowledged_releases.hpp
@@ -26,6 +26,8 @@
   /// Whether a release of this call may still arrive at the converter.
   [[nodiscard]] bool may_arrive(const std::string& call_id) const { return by_call_id_.contains(call_id); }
   [[nodiscard]] bool empty() const { return by_call_id_.empty(); }
+  /// Returns all calls, and forgets them.
+  std::vector<std::string> take_all();
   /// Forgets the calls whose latest copy was sent before this time.
   void forget_sent_before(double time_ms);
 
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -673,6 +673,34 @@
   CHECK(refusal.call_id == "00000000000000c3");
 }
 
+// Guards against calls that are left at a new process: they were set up there before the list told of it,
+// under the id of the converter that had its address before.
+TEST_CASE("a call at a converter that took over an address is released there once the list tells of it") {
+  PlatformFixture platform;
+  auto bus_connection = platform.bus_listener.accept();
+  platform.converter_connections[0].reset();
+  platform.converter_listeners[0].accept().reset();
+  platform.converter_connections[0] = PlatformFixture::accept_as_converter(platform.converter_listeners[0]);
+  auto caller = Socket::connect(platform.caller_address);
+  platform.establish_call(caller, call_a);
+  bus_connection.write(frame(4, 2, 9, 0, platform.converter_listeners[0].address()));
+  CHECK(caller.read_message().code == cause::temporary_failure);
+  // The release comes on a connection to the successor: the reopened ones of its predecessor are closed.
+  bool released = false;
+  std::vector<Socket> connections;
+  for (const double end_ms = now_ms() + wait_timeout_ms; !released && now_ms() < end_ms;) {
+    if (readable(platform.converter_listeners[0].descriptor(), 10))
+      connections.push_back(PlatformFixture::accept_as_converter(platform.converter_listeners[0]));
+    for (auto& connection : connections) {
+      if (connection.no_input_within(5)) continue;
+      const auto line = connection.read_line();
+      released = released || (!line.empty() && parse_message(line).op == Op::end &&
+                              parse_message(line).call_id == call_a);
+    }
+  }
+  CHECK(released);
+}
+
 // ---- Reload ---------------------------------------------------------------------------------------------
 
 TEST_CASE("SIGHUP: the bus is read at its new address from the last event on, and no call is lost") {
