Fix: set-ups that wait for a connection are not sent to a converter that begins to drain

What callers would have seen: nothing; the rule on draining is broken. Found by reading the paths on which an attempt waits between decision and write; not seen in a run of the whole program.

Cause: the core refuses attempts to a converter that drains, but one that already waited for a connection was written as soon as a connection opened, up to its deadline, which may be later than the grace period of 2 s.

Change: ConverterBackend::update_list() fails what waits for a converter that isn't in service. It was never sent, so that it is retried elsewhere at once.

--- a/src/platform/converter_backend.cpp
+++ b/src/platform/converter_backend.cpp
@@ -124,6 +124,10 @@
   }
   router_.directory_updated(update);
   for (const auto& succession : successions) hand_over_releases(succession);
+  // Whatever waits longer than the grace period of a drain would be sent too late.
+  for (auto& [id, peer] : peers_) {
+    if (peer.converter.entry.state != ExchangeState::ready) fail_waiting_attempts(peer);
+  }
 }
 
 /// A process has the address to itself: a converter that was listed there before has gone, even when the list
--- a/tests/router/converter_backend_test.cpp
+++ b/tests/router/converter_backend_test.cpp
@@ -118,6 +118,20 @@
   CHECK(count(AttemptResult::connect_failed) == waiting_set_ups - written_set_ups);
 }
 
+// Guards against sending a set-up to a converter long after it was listed as draining.
+TEST_CASE("set-ups that wait for a connection are not sent to a converter that begins to drain meanwhile") {
+  ConverterBackendFixture fixture(platform_limits);
+  fixture.offer("9b1f03aa5c7e2d41", 10);
+  Converter converter;
+  converter.entry = {.exchange = converter_id, .number = 1, .state = ExchangeState::draining};
+  converter.address = fixture.listener.address();
+  fixture.backend.update_list({converter}, false);
+  const auto connection = fixture.accept_connection();
+  fixture.run_for(100);
+  CHECK(read_available(connection).empty());
+  CHECK(fixture.results == std::vector{AttemptResult::connect_failed});
+}
+
 // ---- Releases that are not acknowledged -----------------------------------------------------------------
 
 /// A fixture whose first attempt has been given up, and whose converter has not acknowledged its release.
