--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -181,11 +181,7 @@
     connection.send(serialize_message(message));
   }
   void read_lines(Connection& from) {
-    for (std::size_t end; from.open() && (end = from.input.find('\n')) != std::string::npos;) {
-      const auto line = from.input.substr(0, end);
-      from.input.erase(0, end + 1);
-      on_message(from, parse_message(line));
-    }
+    take_lines(from, [this, &from](const std::string& line) { on_message(from, parse_message(line)); });
   }
   void on_message(Connection& from, const Message& message) {
     if (message.op != Op::accept && message.op != Op::end) return;
--- a/tests/soak/converter.hpp
+++ b/tests/soak/converter.hpp
@@ -139,11 +139,7 @@
     for (const auto& message : std::exchange(ends_for_next_connection_, {})) send(connection, message);
   }
   void read_lines(Connection& from) {
-    for (std::size_t end; from.open() && (end = from.input.find('\n')) != std::string::npos;) {
-      const auto line = from.input.substr(0, end);
-      from.input.erase(0, end + 1);
-      on_message(from, parse_message(line));
-    }
+    take_lines(from, [this, &from](const std::string& line) { on_message(from, parse_message(line)); });
   }
   void on_message(Connection& from, const Message& message) {
     if (message.op == Op::test) {
--- a/tests/soak/event_loop.hpp
+++ b/tests/soak/event_loop.hpp
@@ -41,6 +41,16 @@
   void send(const std::string& bytes) { output += bytes; }
 };
 
+/// Calls `on_line` for each complete line of the input, as long as the connection is open.
+template <typename OnLine>
+void take_lines(Connection& from, OnLine on_line) {
+  for (std::size_t end; from.open() && (end = from.input.find('\n')) != std::string::npos;) {
+    const auto line = from.input.substr(0, end);
+    from.input.erase(0, end + 1);
+    on_line(line);
+  }
+}
+
 /// Runs the stand-ins. Connections stay allocated until the loop is destroyed, so that pointers to them hold.
 class EventLoop {
  public:
