Soak: ends that could not be written to a reset connection wait for the next one

Traced: the converter was cut off while the call router was killed and started again; when it came back it gave the waiting ends to a new connection, which carries bytes in pieces, and reset that one 25 ms later. The end of the call was still unwritten, and the stand-in had forgotten it: no call router could know of it.

Change: the stand-in keeps such an end for the next connection, as a converter does that could not send it.

--- a/tests/soak/converter.hpp
+++ b/tests/soak/converter.hpp
@@ -44,6 +44,11 @@
   /// The process dies: its connections are reset, its calls are cut, and nothing listens any more.
   void die() {
     EventLoop::close(*listener_);
+    for (const auto& [connection, ends] : std::exchange(ends_given_, {})) {
+      for (const auto& message : ends) {
+        if (!connection->output.empty()) checker_.end_lost(message.call_id);
+      }
+    }
     for (auto* each : std::exchange(connections_, {})) EventLoop::close(*each, true);
     for (auto* each : std::exchange(coming_up_, {})) EventLoop::close(*each, true);
     for (const auto& each : attempts_) {
@@ -136,7 +141,10 @@
     connection.on_closed = [this](Connection& ended) { connection_closed(ended); };
     connection.on_input = [this](Connection& from) { read_lines(from); };
     send(connection, group_state());
-    for (const auto& message : std::exchange(ends_for_next_connection_, {})) send(connection, message);
+    for (const auto& message : std::exchange(ends_for_next_connection_, {})) {
+      send(connection, message);
+      ends_given_[&connection].push_back(message);
+    }
   }
   void read_lines(Connection& from) {
     take_lines(from, [this, &from](const std::string& line) { on_message(from, parse_message(line)); });
@@ -262,6 +270,11 @@
   /// A set-up in work is given up with its connection; a call that stands is not.
   void connection_closed(Connection& connection) {
     std::erase(connections_, &connection);
+    // Ends that could not be written to it wait for the next connection.
+    auto ends = ends_given_.extract(&connection);
+    if (!ends.empty() && !connection.output.empty()) {
+      for (auto& message : ends.mapped()) ends_for_next_connection_.push_back(std::move(message));
+    }
     for (auto it = attempts_.begin(); it != attempts_.end();) {
       if (it->connection != &connection) {
         ++it;
@@ -293,7 +306,9 @@
   }
   /// The call router knows that the call is over.
   void forget_end(const std::string& call_id) {
-    std::erase_if(ends_for_next_connection_, [&](const Message& each) { return each.call_id == call_id; });
+    const auto is_about_call = [&](const Message& each) { return each.call_id == call_id; };
+    std::erase_if(ends_for_next_connection_, is_about_call);
+    for (auto& [connection, ends] : ends_given_) std::erase_if(ends, is_about_call);
   }
   /// The same for each attempt of a call; one call in eight is long.
   [[nodiscard]] static double holding_ms(const std::string& call_id) {
@@ -326,6 +341,7 @@
   std::vector<Connection*> coming_up_;  ///< accepted by the system while the network is cut
   std::list<Attempt> attempts_;
   std::vector<Message> ends_for_next_connection_;
+  std::map<Connection*, std::vector<Message>> ends_given_;  ///< to connections when they came up
   std::uint64_t last_serial_ = 0;
   double silent_changed_ms_ = -1e9;
 
